--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Encodings of core messages in JSON and MessagePack. */
+package org.parsleyhead.codec;
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/api/Step.java
@@ -0,0 +1,40 @@
+package org.parsleyhead.core.api;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The outcome of one transition: the new state and the effects to carry out.
+ *
+ * <p>Immutable and thread-safe if the state and the effects are. Effects are carried out in order.
+ *
+ * @param <S> the type of the state
+ * @param <F> the type of the effects
+ * @param state the new state
+ * @param effects the effects, possibly none
+ */
+public record Step<S, F>(S state, List<F> effects) {
+
+  /** Copies the effects. */
+  public Step {
+    Preconditions.requireNonNull(state, "state");
+    effects = List.copyOf(effects);
+  }
+
+  /** Returns a step without effects. */
+  public static <S, F> Step<S, F> of(S state) {
+    return new Step<>(state, List.of());
+  }
+
+  /** Returns a step with one effect. */
+  public static <S, F> Step<S, F> of(S state, F effect) {
+    return new Step<>(state, List.of(effect));
+  }
+
+  /** Returns this step with further effects behind its own. */
+  public Step<S, F> with(List<? extends F> further) {
+    List<F> all = new ArrayList<>(effects);
+    all.addAll(further);
+    return new Step<>(state, all);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/ItemKey.java
@@ -0,0 +1,31 @@
+package org.parsleyhead.core.ticket;
+
+import org.parsleyhead.core.api.Preconditions;
+
+/**
+ * The identity of a declared item over all tickets.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param kind the kind
+ * @param name the name, unique in its kind
+ */
+public record ItemKey(ItemKind kind, String name) implements Comparable<ItemKey> {
+
+  /** Checks the parts. */
+  public ItemKey {
+    Preconditions.requireNonNull(kind, "itemKind");
+    Preconditions.requireName(name, "itemName");
+  }
+
+  @Override
+  public int compareTo(ItemKey other) {
+    int byKind = kind.compareTo(other.kind);
+    return byKind != 0 ? byKind : name.compareTo(other.name);
+  }
+
+  @Override
+  public String toString() {
+    return kind.text() + "/" + name;
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/package-info.java
@@ -0,0 +1,2 @@
+/** Declarations, change tickets and the catalogue that merges them. */
+package org.parsleyhead.core.ticket;
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role. */
+package org.parsleyhead.entry;
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load role. */
+package org.parsleyhead.load;
--- /dev/null
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator role. */
+package org.parsleyhead.operator;
--- /dev/null
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** The runtime role. */
+package org.parsleyhead.runtime;
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The standin role. */
+package org.parsleyhead.standin;
