Core forms of membership, rendezvous order, rings, duty threads and the peer envelope

Cause: later parts need one form of transition, one thread type and one message envelope to stand on. Ruled out: an actor library (clustering of libraries stays unused, and a ring with a parked consumer is enough).

--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/Envelope.java
@@ -0,0 +1,22 @@
+package org.parsleyhead.codec.peer;
+
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.Sender;
+
+/**
+ * A peer message with its sender.
+ *
+ * <p>Immutable and thread-safe if the message is.
+ *
+ * @param sender who sent it
+ * @param message the message
+ */
+public record Envelope(Sender sender, PeerMessage message) {
+
+  /** Checks the parts. */
+  public Envelope {
+    Preconditions.requireNonNull(sender, "sender");
+    Preconditions.requireNonNull(message, "message");
+  }
+}
--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/PeerMessageCodec.java
@@ -0,0 +1,117 @@
+package org.parsleyhead.codec.peer;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleyhead.codec.CodecException;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Sender;
+
+/**
+ * Encodes peer messages: version, type, sender, then the fields of the message.
+ *
+ * <p>Immutable and thread-safe. Every byte sequence is either decoded or refused with a {@link
+ * CodecException}; no other exception leaves this class.
+ */
+public final class PeerMessageCodec {
+
+  /** The version of the encoding that this program writes and accepts. */
+  public static final int VERSION = 1;
+
+  /** The longest message, in bytes. */
+  public static final int MAXIMUM_MESSAGE_BYTES = 1 << 20;
+
+  private final Map<Integer, MessageType<?>> byCode;
+  private final Map<Class<?>, MessageType<?>> byClass;
+
+  /** Creates a codec for a list of types with distinct codes. */
+  public PeerMessageCodec(List<MessageType<?>> types) {
+    this.byCode =
+        types.stream()
+            .collect(Collectors.toUnmodifiableMap(MessageType::code, Function.identity()));
+    this.byClass =
+        types.stream()
+            .collect(Collectors.toUnmodifiableMap(MessageType::type, Function.identity()));
+  }
+
+  /**
+   * Encodes a message.
+   *
+   * @throws CodecException if the type is not known or the message is too long
+   */
+  public byte[] encode(Envelope envelope) {
+    MessageType<?> type = byClass.get(envelope.message().getClass());
+    if (type == null) {
+      throw new CodecException(
+          CodecException.UNSUPPORTED, "no encoding for " + envelope.message().getClass());
+    }
+    byte[] bytes = pack(type, envelope);
+    if (bytes.length > MAXIMUM_MESSAGE_BYTES) {
+      throw new CodecException(
+          CodecException.TOO_LARGE,
+          type.type().getSimpleName() + " has " + bytes.length + " bytes");
+    }
+    return bytes;
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws CodecException if the bytes are no message of a known version and type
+   */
+  public Envelope decode(byte[] bytes) {
+    if (bytes.length > MAXIMUM_MESSAGE_BYTES) {
+      throw new CodecException(CodecException.TOO_LARGE, "message has " + bytes.length + " bytes");
+    }
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      return unpack(unpacker);
+    } catch (IOException
+        | MessagePackException
+        | InvalidValueException
+        | IllegalArgumentException
+        | NegativeArraySizeException exception) {
+      throw new CodecException(CodecException.MALFORMED, "malformed peer message", exception);
+    }
+  }
+
+  private static byte[] pack(MessageType<?> type, Envelope envelope) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(VERSION);
+      packer.packInt(type.code());
+      packer.packString(envelope.sender().host().text());
+      packer.packLong(envelope.sender().incarnation().value());
+      type.encode(envelope.message(), packer);
+      return packer.toByteArray();
+    } catch (IOException exception) {
+      throw new CodecException(CodecException.MALFORMED, "message cannot be encoded", exception);
+    }
+  }
+
+  private Envelope unpack(MessageUnpacker unpacker) throws IOException {
+    int version = unpacker.unpackInt();
+    if (version != VERSION) {
+      throw new CodecException(CodecException.UNSUPPORTED, "unknown version " + version);
+    }
+    int code = unpacker.unpackInt();
+    MessageType<?> type = byCode.get(code);
+    if (type == null) {
+      throw new CodecException(CodecException.UNSUPPORTED, "unknown message type " + code);
+    }
+    Sender sender =
+        new Sender(new HostName(unpacker.unpackString()), new Incarnation(unpacker.unpackLong()));
+    PeerMessage message = type.decoder().decode(unpacker);
+    if (unpacker.hasNext()) {
+      throw new CodecException(CodecException.MALFORMED, "message has trailing bytes");
+    }
+    return new Envelope(sender, message);
+  }
+}
--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack encoding of the messages between entry hosts. */
+package org.parsleyhead.codec.peer;
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/HostList.java
@@ -0,0 +1,41 @@
+package org.parsleyhead.core.membership;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Preconditions;
+
+/**
+ * The published list of entry hosts at one version. It lags behind the truth.
+ *
+ * <p>Immutable and thread-safe. Hosts are in the order of their names.
+ *
+ * @param version the version, which grows with each change
+ * @param hosts the live and leaving hosts
+ */
+public record HostList(long version, List<HostEntry> hosts) {
+
+  /** The list before the first one is read. */
+  public static final HostList EMPTY = new HostList(0, List.of());
+
+  /** Checks and sorts the hosts. */
+  public HostList {
+    Preconditions.requireNonNegative(version, "version");
+    hosts = hosts.stream().sorted(Comparator.comparing(HostEntry::name)).toList();
+  }
+
+  /** Returns a host by its name, if it is listed. */
+  public Optional<HostEntry> find(HostName name) {
+    return hosts.stream().filter(host -> host.name().equals(name)).findFirst();
+  }
+
+  /** Returns the names of all listed hosts of a cell. */
+  public SortedSet<HostName> membersOf(String cell) {
+    SortedSet<HostName> names = new TreeSet<>();
+    hosts.stream().filter(host -> host.cell().equals(cell)).forEach(host -> names.add(host.name()));
+    return names;
+  }
+}
--- /dev/null
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/duty/MonotonicClock.java
@@ -0,0 +1,14 @@
+package org.parsleyhead.runtime.duty;
+
+import org.parsleyhead.core.api.MonotonicTime;
+
+/** A source of monotonic time. Implementations are thread-safe. */
+@FunctionalInterface
+public interface MonotonicClock {
+
+  /** The clock of this process. */
+  MonotonicClock SYSTEM = () -> new MonotonicTime(System.nanoTime());
+
+  /** Returns the current reading. */
+  MonotonicTime now();
+}
