Ticket and host list formats, settings reader and event log

Cause: stand-ins, entry hosts and the operators' tool have to agree on published documents before they are built side by side. JsonFields refuses unknown fields and names the path of each problem; SettingsReader collects all problems of a TOML document.

--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/HostListCodec.java
@@ -0,0 +1,91 @@
+package org.parsleyhead.codec.json;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.stream.Collectors;
+import org.parsleyhead.codec.CodecException;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.RegionName;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.membership.HostEntry;
+import org.parsleyhead.core.membership.HostList;
+
+/**
+ * The JSON form of the published host list.
+ *
+ * <p>Stateless and thread-safe. Unknown fields are refused.
+ */
+public final class HostListCodec {
+
+  private static final String LIVE = "live";
+  private static final String LEAVING = "leaving";
+
+  private HostListCodec() {}
+
+  /**
+   * Reads a host list.
+   *
+   * @throws CodecException if the value has another form
+   */
+  public static HostList decode(byte[] value) {
+    JsonFields fields = JsonFields.parse(value).allowOnly("version", "hosts", "upstreams");
+    try {
+      return new HostList(
+          fields.number("version"),
+          fields.objects("hosts").stream().map(HostListCodec::readHost).toList(),
+          fields.objects("upstreams").stream()
+              .filter(upstream -> readLeaving(upstream.allowOnly("name", "state")))
+              .map(upstream -> new UpstreamName(upstream.text("name")))
+              .collect(Collectors.toUnmodifiableSet()));
+    } catch (InvalidValueException exception) {
+      throw new CodecException(CodecException.MALFORMED, exception.getMessage(), exception);
+    }
+  }
+
+  /** Writes a host list; of the upstreams only the leaving ones. */
+  public static byte[] encode(HostList list) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("version", list.version());
+    var hosts = node.putArray("hosts");
+    list.hosts().forEach(host -> hosts.add(writeHost(host)));
+    var upstreams = node.putArray("upstreams");
+    list.leavingUpstreams().stream()
+        .sorted()
+        .forEach(name -> upstreams.addObject().put("name", name.text()).put("state", LEAVING));
+    return node.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static HostEntry readHost(JsonFields fields) {
+    fields.allowOnly("name", "peer_endpoint", "region", "failure_domain", "cell", "state");
+    return new HostEntry(
+        new HostName(fields.text("name")),
+        Endpoint.parse(fields.text("peer_endpoint")),
+        new RegionName(fields.text("region")),
+        new FailureDomainName(fields.text("failure_domain")),
+        fields.text("cell"),
+        readLeaving(fields));
+  }
+
+  private static ObjectNode writeHost(HostEntry host) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("name", host.name().text())
+        .put("peer_endpoint", host.peerEndpoint().toString())
+        .put("region", host.region().text())
+        .put("failure_domain", host.failureDomain().text())
+        .put("cell", host.cell())
+        .put("state", host.leaving() ? LEAVING : LIVE);
+  }
+
+  private static boolean readLeaving(JsonFields fields) {
+    String state = fields.text("state");
+    if (!state.equals(LIVE) && !state.equals(LEAVING)) {
+      throw fields.error("state", "must be live or leaving");
+    }
+    return state.equals(LEAVING);
+  }
+}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/HostList.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/HostList.java
@@ -3,10 +3,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.UpstreamName;
 
 /**
  * The published list of entry hosts at one version. It lags behind the truth.
@@ -15,16 +17,18 @@
  *
  * @param version the version, which grows with each change
  * @param hosts the live and leaving hosts
+ * @param leavingUpstreams the upstreams that get no new work
  */
-public record HostList(long version, List<HostEntry> hosts) {
+public record HostList(long version, List<HostEntry> hosts, Set<UpstreamName> leavingUpstreams) {
 
   /** The list before the first one is read. */
-  public static final HostList EMPTY = new HostList(0, List.of());
+  public static final HostList EMPTY = new HostList(0, List.of(), Set.of());
 
   /** Checks and sorts the hosts. */
   public HostList {
     Preconditions.requireNonNegative(version, "version");
     hosts = hosts.stream().sorted(Comparator.comparing(HostEntry::name)).toList();
+    leavingUpstreams = Set.copyOf(leavingUpstreams);
   }
 
   /** Returns a host by its name, if it is listed. */
--- /dev/null
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings in TOML: read whole, checked whole, refused with all problems at once. */
+package org.parsleyhead.runtime.settings;
