Request part: authorization, admission, dispatch, retry, resume and settlement as one transition

Cause: the path from caller to upstream needs its decisions before its sockets. A request moves through four phases; one that is not idempotent is sent again only if the attempt certainly did not run, and a refusal says not_run only if no attempt may have run. Ruled out: deciding inside the socket handlers, which no other front end could use.

--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Authentication and authorization of callers. */
+package org.parsleyhead.core.account;
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Reception.java
@@ -0,0 +1,160 @@
+package org.parsleyhead.core.request;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.parsleyhead.core.account.Authorization;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.ticket.AdapterItem;
+import org.parsleyhead.core.ticket.ItemKind;
+import org.parsleyhead.core.ticket.RouteItem;
+
+/**
+ * Decides a request when it is received: route, client account, adapter, reservation.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class Reception {
+
+  private static final String MODELS_OPERATION = "/models";
+
+  private Reception() {}
+
+  static Step<RequestState, RequestEffect> receive(
+      RequestState state, RequestDescription description, MonotonicTime time) {
+    if (state.activeCount() >= state.settings().maximumActive()) {
+      return refuse(
+          state,
+          description,
+          Refusal.notRun(
+              RefusalCode.OVERLOADED,
+              "this host has no room for another request",
+              state.settings().decisionTimeout()));
+    }
+    Optional<RouteItem> route = state.routes().find(description.path());
+    if (route.isEmpty()) {
+      return refuse(
+          state, description, Refusal.notRun(RefusalCode.ROUTE_UNKNOWN, "no route has this path"));
+    }
+    Authorization.Verdict verdict =
+        Authorization.decide(state.catalogue(), route.get(), description.key());
+    if (verdict.kind() != Authorization.Kind.GRANTED) {
+      return refuse(state, description, unauthorized(verdict.kind()));
+    }
+    return route.get().leadsToModels()
+        ? receiveModelCall(state, description, route.get(), verdict.clientAccount(), time)
+        : admit(
+            state,
+            ActiveRequest.received(
+                description, route.get(), verdict.clientAccount(), Optional.empty(), time));
+  }
+
+  private static Step<RequestState, RequestEffect> receiveModelCall(
+      RequestState state,
+      RequestDescription description,
+      RouteItem route,
+      Optional<ClientAccountName> account,
+      MonotonicTime time) {
+    if (description.path().equals(route.pathPrefix() + MODELS_OPERATION)) {
+      return Step.of(
+          state,
+          new RequestEffect.AnswerModels(description.identifier(), modelsOf(state, account)));
+    }
+    if (description.modelCall().isEmpty()) {
+      return refuse(
+          state,
+          description,
+          Refusal.notRun(RefusalCode.ROUTE_UNKNOWN, "no operation of the model API has this path"));
+    }
+    AdapterReference reference;
+    try {
+      reference = AdapterReference.parse(description.modelCall().get().model());
+    } catch (InvalidValueException exception) {
+      return refuse(
+          state, description, Refusal.notRun(RefusalCode.MODEL_UNKNOWN, exception.getMessage()));
+    }
+    Optional<AdapterItem> adapter =
+        state
+            .catalogue()
+            .adapter(reference.adapter())
+            .filter(item -> item.versions().contains(reference.version()));
+    if (adapter.isEmpty()) {
+      return refuse(
+          state,
+          description,
+          Refusal.notRun(
+              RefusalCode.MODEL_UNKNOWN, "no such adapter and version: " + reference.text()));
+    }
+    if (!mayUse(account).test(adapter.get())) {
+      return refuse(
+          state,
+          description,
+          Refusal.notRun(
+              RefusalCode.FORBIDDEN, "the client account may not use " + reference.text()));
+    }
+    return admit(
+        state, ActiveRequest.received(description, route, account, Optional.of(reference), time));
+  }
+
+  private static Step<RequestState, RequestEffect> admit(
+      RequestState state, ActiveRequest request) {
+    RequestState next = state.earnRetry();
+    if (request.clientAccount().isEmpty()) {
+      return Progress.afterAdmission(next, request, request.received());
+    }
+    long tokens =
+        request
+            .description()
+            .modelCall()
+            .filter(call -> request.isModelCall())
+            .map(ModelCall::totalTokens)
+            .orElse(state.settings().plainCallTokens());
+    return Step.of(
+        next.with(request),
+        new RequestEffect.Reserve(
+            request.description().identifier(), request.clientAccount().get(), tokens));
+  }
+
+  private static List<AdapterReference> modelsOf(
+      RequestState state, Optional<ClientAccountName> account) {
+    return state.catalogue().items().entrySet().stream()
+        .filter(entry -> entry.getKey().kind() == ItemKind.ADAPTER)
+        .flatMap(entry -> entry.getValue().item().stream())
+        .map(AdapterItem.class::cast)
+        .filter(mayUse(account))
+        .map(Reception::references)
+        .flatMap(Collection::stream)
+        .sorted()
+        .toList();
+  }
+
+  private static List<AdapterReference> references(AdapterItem adapter) {
+    return adapter.versions().stream()
+        .map(version -> new AdapterReference(adapter.name(), version))
+        .toList();
+  }
+
+  private static Predicate<AdapterItem> mayUse(Optional<ClientAccountName> account) {
+    return adapter -> account.map(adapter.clientAccounts()::contains).orElse(false);
+  }
+
+  private static Refusal unauthorized(Authorization.Kind kind) {
+    return switch (kind) {
+      case KEY_MISSING ->
+          Refusal.notRun(RefusalCode.KEY_MISSING, "send a key in the Authorization header");
+      case KEY_UNKNOWN -> Refusal.notRun(RefusalCode.KEY_UNKNOWN, "the key is not valid");
+      default ->
+          Refusal.notRun(RefusalCode.FORBIDDEN, "the client account may not call this route");
+    };
+  }
+
+  private static Step<RequestState, RequestEffect> refuse(
+      RequestState state, RequestDescription description, Refusal refusal) {
+    return Step.of(state, new RequestEffect.Refuse(description.identifier(), refusal));
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
@@ -0,0 +1,132 @@
+package org.parsleyhead.core.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.ticket.Priority;
+import org.parsleyhead.core.ticket.RouteItem;
+import org.parsleyhead.core.ticket.UpstreamItem;
+
+/** What is to be done for requests. All effects are immutable. */
+public sealed interface RequestEffect {
+
+  /** Returns the request that the effect is for. */
+  RequestIdentifier identifier();
+
+  /**
+   * Reserve tokens of a client account.
+   *
+   * @param identifier the request
+   * @param clientAccount the client account
+   * @param tokens an upper bound of the tokens
+   */
+  record Reserve(RequestIdentifier identifier, ClientAccountName clientAccount, long tokens)
+      implements RequestEffect {}
+
+  /**
+   * Give back what a request did not use of its reservation.
+   *
+   * @param identifier the request
+   * @param tokens the tokens that it used
+   */
+  record Settle(RequestIdentifier identifier, long tokens) implements RequestEffect {}
+
+  /**
+   * Find out whether a request that is not idempotent was received before, and record it.
+   *
+   * @param identifier the request
+   * @param repeatKey equal for each repetition of the request
+   */
+  record CheckRepeat(RequestIdentifier identifier, String repeatKey) implements RequestEffect {}
+
+  /**
+   * Choose an engine for a call to a model.
+   *
+   * @param identifier the request
+   * @param adapter the adapter and version
+   * @param clientAccount the client account; empty on open routes
+   * @param call the call
+   * @param priority the class of the request
+   * @param remaining the time until the deadline
+   * @param excluded upstreams that failed it before
+   */
+  record SubmitModelCall(
+      RequestIdentifier identifier,
+      AdapterReference adapter,
+      Optional<ClientAccountName> clientAccount,
+      ModelCall call,
+      Priority priority,
+      Duration remaining,
+      Set<UpstreamName> excluded)
+      implements RequestEffect {}
+
+  /**
+   * Choose a plain service for a call.
+   *
+   * @param identifier the request
+   * @param route the route
+   * @param excluded upstreams that failed it before
+   */
+  record SubmitPlainCall(RequestIdentifier identifier, RouteItem route, Set<UpstreamName> excluded)
+      implements RequestEffect {}
+
+  /**
+   * The request no longer waits for an upstream, or no longer runs on the chosen one.
+   *
+   * @param identifier the request
+   * @param upstream the upstream it ran on, if any
+   * @param result how the attempt ended
+   * @param tokens the tokens it used
+   */
+  record Withdraw(
+      RequestIdentifier identifier,
+      Optional<UpstreamName> upstream,
+      AttemptResult result,
+      long tokens)
+      implements RequestEffect {}
+
+  /**
+   * Send the request to an upstream and pass the answer on, behind what the caller already has.
+   *
+   * @param identifier the request
+   * @param attempt the number of the attempt
+   * @param upstream the upstream
+   * @param adapter the adapter and version that must answer; empty for plain services
+   */
+  record Send(
+      RequestIdentifier identifier,
+      int attempt,
+      UpstreamItem upstream,
+      Optional<AdapterReference> adapter)
+      implements RequestEffect {}
+
+  /**
+   * Close the connection of an attempt, which cancels it at the upstream.
+   *
+   * @param identifier the request
+   * @param attempt the number of the attempt
+   */
+  record CancelAttempt(RequestIdentifier identifier, int attempt) implements RequestEffect {}
+
+  /**
+   * Tell the caller that there is no answer, or no more of it.
+   *
+   * @param identifier the request
+   * @param refusal the refusal
+   */
+  record Refuse(RequestIdentifier identifier, Refusal refusal) implements RequestEffect {}
+
+  /**
+   * Answer with the list of models.
+   *
+   * @param identifier the request
+   * @param models the adapters and versions that the client account may use
+   */
+  record AnswerModels(RequestIdentifier identifier, List<AdapterReference> models)
+      implements RequestEffect {}
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestState.java
@@ -0,0 +1,102 @@
+package org.parsleyhead.core.request;
+
+import java.util.Optional;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The requests of this host between their receipt and their end.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class RequestState {
+
+  private final RequestSettings settings;
+  private final Catalogue catalogue;
+  private final RouteTable routes;
+  private final PMap<RequestIdentifier, ActiveRequest> active;
+  private final double retryCredit;
+
+  private RequestState(
+      RequestSettings settings,
+      Catalogue catalogue,
+      RouteTable routes,
+      PMap<RequestIdentifier, ActiveRequest> active,
+      double retryCredit) {
+    this.settings = settings;
+    this.catalogue = catalogue;
+    this.routes = routes;
+    this.active = active;
+    this.retryCredit = retryCredit;
+  }
+
+  /** Returns the state before the first request. */
+  public static RequestState initial(RequestSettings settings) {
+    Preconditions.requireNonNull(settings, "settings");
+    return new RequestState(
+        settings,
+        Catalogue.empty(),
+        RouteTable.of(Catalogue.empty()),
+        HashTreePMap.empty(),
+        settings.maximumRetryCredit());
+  }
+
+  /** Returns how many requests are active. */
+  public int activeCount() {
+    return active.size();
+  }
+
+  /** Returns the catalogue that decisions use. */
+  public Catalogue catalogue() {
+    return catalogue;
+  }
+
+  RequestSettings settings() {
+    return settings;
+  }
+
+  RouteTable routes() {
+    return routes;
+  }
+
+  PMap<RequestIdentifier, ActiveRequest> active() {
+    return active;
+  }
+
+  Optional<ActiveRequest> find(RequestIdentifier identifier) {
+    return Optional.ofNullable(active.get(identifier));
+  }
+
+  boolean hasRetryCredit() {
+    return retryCredit >= 1;
+  }
+
+  RequestState with(Catalogue next) {
+    return new RequestState(settings, next, RouteTable.of(next), active, retryCredit);
+  }
+
+  RequestState with(ActiveRequest request) {
+    return new RequestState(
+        settings,
+        catalogue,
+        routes,
+        active.plus(request.description().identifier(), request),
+        retryCredit);
+  }
+
+  RequestState without(RequestIdentifier identifier) {
+    return new RequestState(settings, catalogue, routes, active.minus(identifier), retryCredit);
+  }
+
+  RequestState earnRetry() {
+    double earned = Math.min(settings.maximumRetryCredit(), retryCredit + settings.retryRatio());
+    return new RequestState(settings, catalogue, routes, active, earned);
+  }
+
+  RequestState spendRetry() {
+    return new RequestState(settings, catalogue, routes, active, retryCredit - 1);
+  }
+}
