--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/openai/package-info.java
@@ -0,0 +1,2 @@
+/** The parts of the OpenAI HTTP API that the system reads and writes. */
+package org.parsleyhead.codec.openai;
