--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
@@ -97,12 +97,14 @@
    * @param attempt the number of the attempt
    * @param upstream the upstream
    * @param adapter the adapter and version that must answer; empty for plain services
+   * @param mayShareConnection whether it may use a connection that was used before
    */
   record Send(
       RequestIdentifier identifier,
       int attempt,
       UpstreamItem upstream,
-      Optional<AdapterReference> adapter)
+      Optional<AdapterReference> adapter,
+      boolean mayShareConnection)
       implements RequestEffect {}
 
   /**
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestTransition.java
@@ -148,7 +148,11 @@
     return Step.of(
         state.with(sent),
         new RequestEffect.Send(
-            event.identifier(), sent.attempts().count(), event.upstream(), sent.adapter()));
+            event.identifier(),
+            sent.attempts().count(),
+            event.upstream(),
+            sent.adapter(),
+            sent.route().idempotent()));
   }
 
   private static Step<RequestState, RequestEffect> notDispatched(
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/package-info.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/package-info.java
@@ -1,2 +1,2 @@
-/** The entry role. */
+/** The entry host's program. */
 package org.parsleyhead.entry;
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/package-info.java
@@ -0,0 +1,2 @@
+/** Wires duties, rings and sockets into one process. */
+package org.parsleyhead.entry.process;
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamSettings.java
@@ -0,0 +1,29 @@
+package org.parsleyhead.entry.upstream;
+
+import java.time.Duration;
+import org.parsleyhead.core.api.Preconditions;
+
+/**
+ * The limits of connections to upstreams.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param connectTimeout the longest time for a connection to open
+ * @param progressTimeout the longest silence of a stream; then it is resumed on a new connection
+ * @param answerTimeout the longest silence of an upstream that answers in one piece
+ * @param bufferedAnswerBytes up to which length an answer is held back until it is complete
+ */
+public record UpstreamSettings(
+    Duration connectTimeout,
+    Duration progressTimeout,
+    Duration answerTimeout,
+    int bufferedAnswerBytes) {
+
+  /** Checks the limits. */
+  public UpstreamSettings {
+    Preconditions.requireNonNull(connectTimeout, "connectTimeout");
+    Preconditions.requireNonNull(progressTimeout, "progressTimeout");
+    Preconditions.requireNonNull(answerTimeout, "answerTimeout");
+    Preconditions.requireNonNegative(bufferedAnswerBytes, "bufferedAnswerBytes");
+  }
+}
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets towards upstreams. */
+package org.parsleyhead.entry.upstream;
