--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
@@ -0,0 +1,62 @@
+package org.parsleyhead.entry.process;
+
+import java.util.function.Consumer;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.request.RequestEffect;
+import org.parsleyhead.entry.callers.Exchange;
+import org.parsleyhead.entry.upstream.UpstreamClient;
+
+/**
+ * Carries out the effects of requests: towards sockets at once, towards other duties through their
+ * rings. Runs on the request duty's thread and does not block.
+ */
+final class RequestEffects implements Consumer<RequestEffect> {
+
+  private final ExchangeRegistry exchanges;
+  private final UpstreamClient upstreams;
+  private final RequestPorts ports;
+
+  RequestEffects(ExchangeRegistry exchanges, UpstreamClient upstreams, RequestPorts ports) {
+    this.exchanges = Preconditions.requireNonNull(exchanges, "exchanges");
+    this.upstreams = Preconditions.requireNonNull(upstreams, "upstreams");
+    this.ports = Preconditions.requireNonNull(ports, "ports");
+  }
+
+  @Override
+  public void accept(RequestEffect effect) {
+    if (effect instanceof RequestEffect.Reserve reserve) {
+      ports.reserve().accept(reserve);
+    } else if (effect instanceof RequestEffect.Settle settle) {
+      ports.settle().accept(settle);
+    } else if (effect instanceof RequestEffect.CheckRepeat check) {
+      ports.checkRepeat().accept(check);
+    } else if (effect instanceof RequestEffect.SubmitModelCall submit) {
+      ports.submitModelCall().accept(submit);
+    } else if (effect instanceof RequestEffect.SubmitPlainCall submit) {
+      ports.submitPlainCall().accept(submit);
+    } else if (effect instanceof RequestEffect.Withdraw withdraw) {
+      ports.withdraw().accept(withdraw);
+    } else {
+      onExchange(effect);
+    }
+  }
+
+  private void onExchange(RequestEffect effect) {
+    exchanges.find(effect.identifier()).ifPresent(exchange -> carryOut(effect, exchange));
+    if (effect instanceof RequestEffect.CancelAttempt cancel) {
+      upstreams.disconnect(cancel.identifier());
+    }
+  }
+
+  private void carryOut(RequestEffect effect, Exchange exchange) {
+    if (effect instanceof RequestEffect.Send send) {
+      upstreams.send(send, exchange);
+    } else if (effect instanceof RequestEffect.CancelAttempt cancel) {
+      upstreams.cancel(cancel, exchange);
+    } else if (effect instanceof RequestEffect.Refuse refuse) {
+      exchange.refuse(refuse.refusal());
+    } else if (effect instanceof RequestEffect.AnswerModels models) {
+      exchange.answerModels(models.models());
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestPorts.java
@@ -0,0 +1,35 @@
+package org.parsleyhead.entry.process;
+
+import java.util.function.Consumer;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.request.RequestEffect;
+
+/**
+ * Where the effects of requests go that other duties carry out.
+ *
+ * <p>Immutable; the consumers are thread-safe and do not block.
+ *
+ * @param reserve reserves tokens
+ * @param settle settles a reservation
+ * @param checkRepeat checks for repetition
+ * @param submitModelCall chooses an engine
+ * @param submitPlainCall chooses a plain service
+ * @param withdraw frees the place at an upstream
+ */
+record RequestPorts(
+    Consumer<RequestEffect.Reserve> reserve,
+    Consumer<RequestEffect.Settle> settle,
+    Consumer<RequestEffect.CheckRepeat> checkRepeat,
+    Consumer<RequestEffect.SubmitModelCall> submitModelCall,
+    Consumer<RequestEffect.SubmitPlainCall> submitPlainCall,
+    Consumer<RequestEffect.Withdraw> withdraw) {
+
+  RequestPorts {
+    Preconditions.requireNonNull(reserve, "reserve");
+    Preconditions.requireNonNull(settle, "settle");
+    Preconditions.requireNonNull(checkRepeat, "checkRepeat");
+    Preconditions.requireNonNull(submitModelCall, "submitModelCall");
+    Preconditions.requireNonNull(submitPlainCall, "submitPlainCall");
+    Preconditions.requireNonNull(withdraw, "withdraw");
+  }
+}
