Recognize repetitions of calls that are not idempotent by a majority of the cell

Cause: callers and the balancer repeat requests through other hosts, and no state is shared. Ruled out: a home host for each key with a quarantine (each restart refuses a sixth of the calls for the whole window); exclusive homes by pairwise attestation (a dead host that is still listed blocks a third of the keys while the list is stale). Change: a request runs after a majority of the cell's members recorded it; records last one window; a process that may have forgotten does not count; a newer member list counts only once the former one has no majority left, and not for a window if their majorities need not intersect. With all three rules none in 60 seeded schedules. Conclusion: two of six hosts may be restarted at a time without a refusal.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Progress.java
@@ -79,6 +79,9 @@
       effects.add(
           new RequestEffect.Withdraw(identifier, runningUpstream(request), result, tokensPassed));
     }
+    if (!request.route().idempotent() && !request.attempts().mayHaveRun()) {
+      effects.add(new RequestEffect.ForgetRepeat(identifier));
+    }
     if (request.clientAccount().isPresent()) {
       effects.add(new RequestEffect.Settle(identifier, usedTokens(request, tokensPassed)));
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
@@ -44,6 +44,13 @@
    */
   record CheckRepeat(RequestIdentifier identifier, String repeatKey) implements RequestEffect {}
 
+  /**
+   * A request that was checked for repetition certainly did not run; it may be sent again.
+   *
+   * @param identifier the request
+   */
+  record ForgetRepeat(RequestIdentifier identifier) implements RequestEffect {}
+
   /**
    * Choose an engine for a call to a model.
    *
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/idempotency/RepeatFleet.java
@@ -0,0 +1,181 @@
+package org.parsleyhead.core.idempotency;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.request.RepeatCheckResult;
+
+/** A fleet of hosts on a fake clock, with a network that loses, delays and doubles messages. */
+final class RepeatFleet {
+
+  static final RepeatSettings SETTINGS =
+      new RepeatSettings(Duration.ofSeconds(30), Duration.ofMillis(200), Duration.ofSeconds(2), 99);
+
+  private final Random random;
+  private final RepeatTransition transition = new RepeatTransition();
+  private final Map<HostName, RepeatState> states = new TreeMap<>();
+  private final Map<HostName, Long> versions = new HashMap<>();
+  private final List<Delivery> network = new ArrayList<>();
+  private final Map<RequestIdentifier, String> keys = new HashMap<>();
+  private final Map<String, List<MonotonicTime>> runs = new HashMap<>();
+  private final List<SortedSet<HostName>> lists = new ArrayList<>();
+  private MonotonicTime now = MonotonicTime.ORIGIN;
+  private Set<HostName> unreachable = Set.of();
+  private double loss;
+  private int sequence;
+  private int firsts;
+
+  RepeatFleet(long seed, int hosts) {
+    random = new Random(seed);
+    SortedSet<HostName> all = new TreeSet<>();
+    for (int index = 0; index < hosts; index++) {
+      all.add(new HostName("host-" + index));
+    }
+    lists.add(all);
+    all.forEach(this::restart);
+    advance(SETTINGS.uncertainty().plusSeconds(1));
+  }
+
+  List<HostName> hosts() {
+    return List.copyOf(states.keySet());
+  }
+
+  int firsts() {
+    return firsts;
+  }
+
+  void loseMessages(double probability) {
+    loss = probability;
+  }
+
+  /** Loses all messages to and from some hosts. */
+  void cutOff(Set<HostName> hosts) {
+    unreachable = hosts;
+  }
+
+  /** Publishes a list; hosts see it when {@link #showList} is called for them. */
+  void publish(SortedSet<HostName> members) {
+    lists.add(members);
+    members.stream().filter(member -> !states.containsKey(member)).forEach(this::restart);
+  }
+
+  SortedSet<HostName> lastList() {
+    return lists.get(lists.size() - 1);
+  }
+
+  void showList(HostName host) {
+    versions.put(host, (long) lists.size());
+    refreshStandings();
+  }
+
+  void restart(HostName host) {
+    versions.put(host, (long) lists.size());
+    states.put(host, RepeatState.initial(SETTINGS, standing(host), now));
+    apply(host, new RepeatEvent.StandingChanged(standing(host)));
+  }
+
+  void check(HostName host, String repeatKey) {
+    RequestIdentifier identifier = new RequestIdentifier("request-" + ++sequence);
+    keys.put(identifier, repeatKey);
+    apply(host, new RepeatEvent.Check(identifier, repeatKey));
+  }
+
+  /** Lets time pass in steps, delivering messages and ticking hosts. */
+  void advance(Duration duration) {
+    MonotonicTime end = now.plus(duration);
+    while (now.isBefore(end)) {
+      now = now.plus(Duration.ofMillis(50));
+      deliverDue();
+      hosts().forEach(host -> apply(host, new RepeatEvent.Tick()));
+    }
+  }
+
+  /** Returns the greatest number of runs of one repeat key within any window. */
+  int mostRunsOfOneKey() {
+    int most = 0;
+    for (List<MonotonicTime> times : runs.values()) {
+      for (MonotonicTime start : times) {
+        MonotonicTime end = start.plus(SETTINGS.window());
+        long within =
+            times.stream().filter(time -> !time.isBefore(start) && time.isBefore(end)).count();
+        most = Math.max(most, (int) within);
+      }
+    }
+    return most;
+  }
+
+  private void refreshStandings() {
+    hosts().forEach(host -> apply(host, new RepeatEvent.StandingChanged(standing(host))));
+  }
+
+  /** Returns a standing in which every member has attested the version that it has seen. */
+  private Standing standing(HostName host) {
+    long version = versions.get(host);
+    SortedSet<HostName> members = lists.get((int) version - 1);
+    Map<HostName, Long> attested = new HashMap<>(versions);
+    attested.remove(host);
+    return new Standing(host, new Incarnation(1), version, members, Map.of(), attested, Map.of());
+  }
+
+  private void apply(HostName host, RepeatEvent event) {
+    Step<RepeatState, RepeatEffect> step = transition.apply(states.get(host), event, now);
+    states.put(host, step.state());
+    step.effects().forEach(effect -> carryOut(host, effect));
+  }
+
+  private void carryOut(HostName host, RepeatEffect effect) {
+    if (effect instanceof RepeatEffect.Send send) {
+      transmit(host, send.receiver(), send.message());
+    } else if (effect instanceof RepeatEffect.Checked checked) {
+      concluded(host, checked);
+    }
+  }
+
+  private void concluded(HostName host, RepeatEffect.Checked checked) {
+    if (checked.result() == RepeatCheckResult.FIRST) {
+      firsts++;
+      runs.computeIfAbsent(keys.get(checked.identifier()), key -> new ArrayList<>()).add(now);
+    } else {
+      apply(host, new RepeatEvent.Forget(checked.identifier()));
+    }
+  }
+
+  private void transmit(HostName sender, HostName receiver, PeerMessage message) {
+    boolean cut = unreachable.contains(sender) || unreachable.contains(receiver);
+    if (cut || random.nextDouble() < loss) {
+      return;
+    }
+    int copies = random.nextInt(10) == 0 ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      Duration delay = Duration.ofMillis(random.nextInt(400));
+      network.add(new Delivery(now.plus(delay), sender, receiver, message));
+    }
+  }
+
+  private void deliverDue() {
+    List<Delivery> due = network.stream().filter(item -> !now.isBefore(item.time())).toList();
+    network.removeAll(due);
+    for (Delivery delivery : due) {
+      if (states.containsKey(delivery.receiver())) {
+        apply(delivery.receiver(), new RepeatEvent.Received(delivery.sender(), delivery.message()));
+      }
+    }
+  }
+
+  private record Delivery(
+      MonotonicTime time, HostName sender, HostName receiver, PeerMessage message) {}
+}
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/idempotency/RepeatTransitionTests.java
@@ -0,0 +1,154 @@
+package org.parsleyhead.core.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.HostName;
+
+@DisplayName("The recognition of repetitions")
+class RepeatTransitionTests {
+
+  private static final int SCHEDULES = 60;
+  private static final int STEPS = 60;
+
+  @Nested
+  @DisplayName("in a cell of six hosts")
+  class InCell {
+
+    private final RepeatFleet fleet = new RepeatFleet(1, 6);
+
+    @Test
+    @DisplayName("lets the first request run and recognizes its repetition on another host")
+    void recognizesRepetition() {
+      fleet.check(fleet.hosts().get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      fleet.check(fleet.hosts().get(3), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+      assertEquals(1, fleet.mostRunsOfOneKey());
+    }
+
+    @Test
+    @DisplayName("still recognizes it after two of the hosts were restarted")
+    void survivesRestarts() {
+      fleet.check(fleet.hosts().get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      fleet.restart(fleet.hosts().get(0));
+      fleet.restart(fleet.hosts().get(1));
+      fleet.check(fleet.hosts().get(1), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+    }
+
+    @Test
+    @DisplayName("lets other requests run after two of the hosts were restarted")
+    void staysAvailable() {
+      fleet.restart(fleet.hosts().get(0));
+      fleet.restart(fleet.hosts().get(1));
+      fleet.check(fleet.hosts().get(0), "another booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+    }
+
+    @Test
+    @DisplayName("lets nothing run after all hosts were restarted, until the window has passed")
+    void waitsAfterRestartOfAll() {
+      fleet.check(fleet.hosts().get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      fleet.hosts().forEach(fleet::restart);
+      fleet.check(fleet.hosts().get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+      fleet.advance(RepeatFleet.SETTINGS.uncertainty());
+      fleet.check(fleet.hosts().get(0), "a later booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(2, fleet.firsts());
+    }
+  }
+
+  @Nested
+  @DisplayName("when the host list drops three of six hosts at once")
+  class WhenListShrinks {
+
+    private final RepeatFleet fleet = new RepeatFleet(1, 6);
+    private final List<HostName> hosts = fleet.hosts();
+
+    @Test
+    @DisplayName("does not let the few that saw it decide without the others")
+    void fewCannotDecide() {
+      fleet.publish(new TreeSet<>(hosts.subList(3, 6)));
+      fleet.showList(hosts.get(4));
+      fleet.showList(hosts.get(5));
+      fleet.advance(RepeatFleet.SETTINGS.uncertainty().plusSeconds(1));
+      fleet.check(hosts.get(4), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      fleet.check(hosts.get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+    }
+
+    @Test
+    @DisplayName("does not trust hosts that need not have heard of earlier requests")
+    void strangersCannotDecide() {
+      fleet.cutOff(Set.of(hosts.get(4), hosts.get(5)));
+      fleet.check(hosts.get(0), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      fleet.publish(new TreeSet<>(hosts.subList(3, 6)));
+      hosts.subList(3, 6).forEach(fleet::showList);
+      fleet.cutOff(Set.copyOf(hosts.subList(0, 4)));
+      fleet.check(hosts.get(4), "booking");
+      fleet.advance(Duration.ofSeconds(3));
+      assertEquals(1, fleet.firsts());
+    }
+  }
+
+  @Test
+  @DisplayName("never lets two of equal requests run, whatever the network and the hosts do")
+  void holdsUnderRandomSchedules() {
+    int firsts = 0;
+    for (int seed = 1; seed <= SCHEDULES; seed++) {
+      RepeatFleet fleet = new RepeatFleet(seed, 6);
+      runSchedule(fleet, new Random(seed));
+      assertEquals(1, Math.max(1, fleet.mostRunsOfOneKey()), "seed " + seed);
+      firsts += fleet.firsts();
+    }
+    assertTrue(firsts > SCHEDULES, "the schedules must let requests run");
+  }
+
+  private static void runSchedule(RepeatFleet fleet, Random random) {
+    fleet.loseMessages(random.nextInt(4) * 0.1);
+    for (int step = 0; step < STEPS; step++) {
+      List<HostName> hosts = fleet.hosts();
+      HostName host = hosts.get(random.nextInt(hosts.size()));
+      switch (random.nextInt(12)) {
+        case 0 -> fleet.restart(host);
+        case 1 -> fleet.publish(changed(fleet.lastList(), random, step));
+        case 2, 3 -> fleet.showList(host);
+        case 4 -> fleet.advance(Duration.ofSeconds(random.nextInt(10)));
+        default -> fleet.check(host, "key-" + random.nextInt(5));
+      }
+      fleet.advance(Duration.ofMillis(random.nextInt(1_000)));
+    }
+    fleet.advance(Duration.ofSeconds(5));
+  }
+
+  private static SortedSet<HostName> changed(SortedSet<HostName> members, Random random, int step) {
+    SortedSet<HostName> next = new TreeSet<>(members);
+    for (int removal = random.nextInt(3); removal > 0 && next.size() > 3; removal--) {
+      next.remove(List.copyOf(next).get(random.nextInt(next.size())));
+    }
+    if (next.size() < 6 && random.nextBoolean()) {
+      next.add(new HostName("host-new-" + step));
+    }
+    return next;
+  }
+}
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
@@ -30,6 +30,8 @@
       ports.settle().accept(settle);
     } else if (effect instanceof RequestEffect.CheckRepeat check) {
       ports.checkRepeat().accept(check);
+    } else if (effect instanceof RequestEffect.ForgetRepeat forget) {
+      ports.forgetRepeat().accept(forget);
     } else if (effect instanceof RequestEffect.SubmitModelCall submit) {
       ports.submitModelCall().accept(submit);
     } else if (effect instanceof RequestEffect.SubmitPlainCall submit) {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestPorts.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestPorts.java
@@ -12,6 +12,7 @@
  * @param reserve reserves tokens
  * @param settle settles a reservation
  * @param checkRepeat checks for repetition
+ * @param forgetRepeat lets a request that did not run be sent again
  * @param submitModelCall chooses an engine
  * @param submitPlainCall chooses a plain service
  * @param withdraw frees the place at an upstream
@@ -20,6 +21,7 @@
     Consumer<RequestEffect.Reserve> reserve,
     Consumer<RequestEffect.Settle> settle,
     Consumer<RequestEffect.CheckRepeat> checkRepeat,
+    Consumer<RequestEffect.ForgetRepeat> forgetRepeat,
     Consumer<RequestEffect.SubmitModelCall> submitModelCall,
     Consumer<RequestEffect.SubmitPlainCall> submitPlainCall,
     Consumer<RequestEffect.Withdraw> withdraw) {
@@ -28,6 +30,7 @@
     Preconditions.requireNonNull(reserve, "reserve");
     Preconditions.requireNonNull(settle, "settle");
     Preconditions.requireNonNull(checkRepeat, "checkRepeat");
+    Preconditions.requireNonNull(forgetRepeat, "forgetRepeat");
     Preconditions.requireNonNull(submitModelCall, "submitModelCall");
     Preconditions.requireNonNull(submitPlainCall, "submitPlainCall");
     Preconditions.requireNonNull(withdraw, "withdraw");
