--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/settings/SettingsReader.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/settings/SettingsReader.java
@@ -153,6 +153,17 @@
     return node.isArray() ? texts : problem(path, "must be a list of strings", node, List.of());
   }
 
+  /** Returns the names that a table holds, in their order; none if the path is absent. */
+  public List<String> names(String path) {
+    List<String> names = new ArrayList<>();
+    JsonNode table = at(path);
+    if (!table.isObject() && !table.isMissingNode()) {
+      return problem(path, "must be a table", find(path), List.of());
+    }
+    table.fieldNames().forEachRemaining(names::add);
+    return names;
+  }
+
   /** Notes a problem that concerns a path, such as an impossible combination. */
   public void reject(String path, String problem) {
     problems.add(path + ": " + problem);
@@ -194,6 +205,10 @@
 
   private JsonNode find(String path) {
     known.add(path);
+    return at(path);
+  }
+
+  private JsonNode at(String path) {
     JsonNode node = root;
     for (String name : path.split("\\.")) {
       node = node.path(name);
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/DelayTimer.java
@@ -0,0 +1,11 @@
+package org.parsleyhead.standin;
+
+import java.time.Duration;
+
+/** Runs actions later. Implementations are thread-safe; actions do not block. */
+@FunctionalInterface
+public interface DelayTimer {
+
+  /** Runs an action after a duration. */
+  void after(Duration delay, Runnable action);
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinCommand.java
@@ -0,0 +1,88 @@
+package org.parsleyhead.standin;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.parsleyhead.core.api.ParsleyheadException;
+import org.parsleyhead.runtime.settings.SettingsException;
+
+/**
+ * The command line of the stand-ins.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class StandinCommand {
+
+  static final int EXIT_FINE = 0;
+  static final int EXIT_FAILED = 1;
+  static final int EXIT_USAGE = 2;
+
+  private static final String HELP =
+      """
+      usage: parsleyhead-standin --settings FILE
+
+      Runs stand-ins for the configuration service, the host list, the weight store,
+      model servers and plain services until it is ended by a signal.
+
+        --settings FILE    the settings in TOML
+        --check-settings   check the settings and exit
+        --help             print this text and exit
+        --version          print the version and exit
+
+      Exit codes: 0 fine, 1 failed, 2 usage or settings.
+      """;
+
+  private static final Options OPTIONS =
+      new Options()
+          .addOption(Option.builder().longOpt("settings").hasArg().get())
+          .addOption(Option.builder().longOpt("check-settings").get())
+          .addOption(Option.builder().longOpt("help").get())
+          .addOption(Option.builder().longOpt("version").get());
+
+  private StandinCommand() {}
+
+  /** Runs the command and returns its exit code. */
+  static int run(
+      String[] arguments, PrintStream output, PrintStream errors, Consumer<Path> server) {
+    try {
+      return run(new DefaultParser().parse(OPTIONS, arguments), output, errors, server);
+    } catch (ParseException exception) {
+      errors.println("error=usage message=\"" + exception.getMessage() + "\"; see --help");
+      return EXIT_USAGE;
+    } catch (SettingsException exception) {
+      exception.problems().forEach(problem -> errors.println("error=settings " + problem));
+      return EXIT_USAGE;
+    } catch (ParsleyheadException exception) {
+      errors.println("error=" + exception.code() + " message=\"" + exception.getMessage() + "\"");
+      return exception.code().equals(StandinException.FILE_FAILED) ? EXIT_USAGE : EXIT_FAILED;
+    }
+  }
+
+  private static int run(
+      CommandLine line, PrintStream output, PrintStream errors, Consumer<Path> server) {
+    if (line.hasOption("help")) {
+      output.print(HELP);
+    } else if (line.hasOption("version")) {
+      output.println("parsleyhead-standin " + version());
+    } else if (!line.hasOption("settings")) {
+      errors.println("error=usage message=\"--settings FILE is missing\"; see --help");
+      return EXIT_USAGE;
+    } else if (line.hasOption("check-settings")) {
+      StandinMain.read(Path.of(line.getOptionValue("settings")));
+      output.println("settings=fine");
+    } else {
+      server.accept(Path.of(line.getOptionValue("settings")));
+    }
+    return EXIT_FINE;
+  }
+
+  private static String version() {
+    String version = StandinCommand.class.getPackage().getImplementationVersion();
+    return version == null ? "development" : version;
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinEnvironment.java
@@ -0,0 +1,24 @@
+package org.parsleyhead.standin;
+
+import io.netty.channel.EventLoopGroup;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+import org.parsleyhead.runtime.log.EventLog;
+
+/**
+ * What all stand-ins of one process share.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param group the event loops of all listeners
+ * @param timer runs actions later
+ * @param clock the monotonic clock
+ * @param log the log
+ */
+public record StandinEnvironment(
+    EventLoopGroup group, DelayTimer timer, MonotonicClock clock, EventLog log) {
+
+  /** Logs the failure of an event of a duty. */
+  public void failed(String name, Throwable cause) {
+    log.failure("event_failed", cause, "standin", name);
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
@@ -0,0 +1,107 @@
+package org.parsleyhead.standin;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.asynchttpclient.AsyncHttpClient;
+import org.parsleyhead.standin.administration.AdministrationService;
+import org.parsleyhead.standin.engine.EngineFactory;
+import org.parsleyhead.standin.ledger.Ledger;
+import org.parsleyhead.standin.plain.PlainService;
+import org.parsleyhead.standin.platform.PublicationService;
+import org.parsleyhead.standin.platform.WeightStore;
+import org.parsleyhead.standin.settings.StandinSettings;
+
+/**
+ * All stand-ins of one process.
+ *
+ * <p>Thread-safe. All listeners are open from {@link #open()} until {@link #close()}, unless the
+ * administration closes one.
+ */
+public final class StandinFleet implements AutoCloseable {
+
+  private final List<Standin> standins;
+  private final AdministrationService administration;
+  private final Ledger ledger;
+
+  /** Creates the stand-ins of some settings; their listeners are not yet open. */
+  public StandinFleet(
+      StandinSettings settings, AsyncHttpClient client, StandinEnvironment environment) {
+    this.ledger =
+        settings.ledgerFile().map(Path::of).map(Ledger::inFile).orElseGet(Ledger::inMemory);
+    this.standins = create(settings, client, ledger, environment);
+    this.administration =
+        new AdministrationService(settings.administration(), standins, ledger, environment);
+  }
+
+  private static List<Standin> create(
+      StandinSettings settings,
+      AsyncHttpClient client,
+      Ledger ledger,
+      StandinEnvironment environment) {
+    List<Standin> standins = new ArrayList<>();
+    settings
+        .configuration()
+        .map(endpoint -> PublicationService.configuration(endpoint, environment))
+        .ifPresent(standins::add);
+    settings
+        .hosts()
+        .map(endpoint -> PublicationService.hosts(endpoint, environment))
+        .ifPresent(standins::add);
+    settings
+        .weights()
+        .map(weights -> new WeightStore(weights.endpoint(), weights.settings(), environment))
+        .ifPresent(standins::add);
+    EngineFactory engines = new EngineFactory(client, settings.weightStore(), ledger, environment);
+    settings
+        .engines()
+        .forEach(
+            engine ->
+                standins.add(engines.create(engine.name(), engine.endpoint(), engine.settings())));
+    settings
+        .services()
+        .forEach(
+            service ->
+                standins.add(
+                    new PlainService(
+                        service.name(),
+                        service.endpoint(),
+                        service.settings(),
+                        ledger,
+                        environment)));
+    return standins;
+  }
+
+  /**
+   * Opens all listeners.
+   *
+   * @throws StandinException if an endpoint cannot be bound
+   */
+  public void open() {
+    standins.forEach(standin -> standin.listener().open());
+    administration.listener().open();
+  }
+
+  /** Returns one line of key=value pairs for each listener. */
+  public List<String> describe() {
+    List<String> lines = new ArrayList<>();
+    standins.forEach(
+        standin ->
+            lines.add(
+                line(standin.kind(), standin.name(), standin.listener().endpoint().toString())));
+    lines.add(
+        line("administration", "administration", administration.listener().endpoint().toString()));
+    return lines;
+  }
+
+  private static String line(String kind, String name, String endpoint) {
+    return "standin=" + kind + " name=" + name + " endpoint=" + endpoint;
+  }
+
+  @Override
+  public void close() {
+    administration.listener().close();
+    standins.forEach(Standin::close);
+    ledger.close();
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
@@ -0,0 +1,182 @@
+package org.parsleyhead.standin.administration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.standin.ModeChange;
+import org.parsleyhead.standin.ServiceMode;
+import org.parsleyhead.standin.Standin;
+import org.parsleyhead.standin.StandinEnvironment;
+import org.parsleyhead.standin.StandinException;
+import org.parsleyhead.standin.engine.EngineService;
+import org.parsleyhead.standin.http.Exchange;
+import org.parsleyhead.standin.http.HttpAnswer;
+import org.parsleyhead.standin.http.HttpCall;
+import org.parsleyhead.standin.http.HttpListener;
+import org.parsleyhead.standin.ledger.Ledger;
+import org.parsleyhead.standin.ledger.LedgerCodec;
+import org.parsleyhead.standin.platform.PublicationService;
+import org.parsleyhead.standin.platform.WeightStore;
+
+/**
+ * The administration of all stand-ins of one process.
+ *
+ * <p>Immutable and thread-safe. A change is in force when its answer has been sent, or a few
+ * milliseconds later if the stand-in is busy.
+ */
+public final class AdministrationService {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpListener listener;
+  private final List<Standin> standins;
+  private final Ledger ledger;
+  private final StandinEnvironment environment;
+
+  /** Creates the administration; its listener is not yet open. */
+  public AdministrationService(
+      Endpoint endpoint, List<Standin> standins, Ledger ledger, StandinEnvironment environment) {
+    this.standins = List.copyOf(standins);
+    this.ledger = ledger;
+    this.environment = environment;
+    this.listener = new HttpListener(environment.group(), endpoint, this::handle);
+  }
+
+  /** Returns the listener. */
+  public HttpListener listener() {
+    return listener;
+  }
+
+  private void handle(HttpCall call, Exchange exchange) {
+    if (call.pathAfter("/admin/modes/").isPresent() && call.method().equals("PUT")) {
+      changeMode(call, exchange);
+    } else if (call.pathAfter("/admin/restarts/").isPresent() && call.method().equals("POST")) {
+      restart(call, exchange);
+    } else {
+      exchange.answer(answer(call));
+    }
+  }
+
+  private HttpAnswer answer(HttpCall call) {
+    if (call.pathAfter("/admin/values/").isPresent()) {
+      return changeValue(call, call.pathAfter("/admin/values/").get());
+    }
+    if (call.is("PUT", "/admin/hosts")) {
+      publication("hosts").putHosts(call.body());
+      return HttpAnswer.empty(204);
+    }
+    if (call.is("GET", "/admin/calls")) {
+      return HttpAnswer.json(200, calls());
+    }
+    if (call.is("GET", "/admin/ledger")) {
+      return HttpAnswer.text(200, ledgerLines(call.query("upstream").orElse("")));
+    }
+    if (call.is("DELETE", "/admin/ledger")) {
+      ledger.clear();
+      return HttpAnswer.empty(204);
+    }
+    return HttpAnswer.error(404, "not_found", "no such call: " + call.path());
+  }
+
+  private HttpAnswer changeValue(HttpCall call, String path) {
+    switch (call.method()) {
+      case "PUT" -> publication("configuration").put(path, call.body());
+      case "DELETE" -> publication("configuration").delete(path);
+      default -> {
+        return HttpAnswer.error(405, "method_not_allowed", "PUT or DELETE");
+      }
+    }
+    return HttpAnswer.empty(204);
+  }
+
+  private void changeMode(HttpCall call, Exchange exchange) {
+    Standin standin = find(call.pathAfter("/admin/modes/").orElseThrow());
+    ModeChange change = readMode(call);
+    offLoop(
+        exchange,
+        () -> {
+          standin.changeMode(change);
+          if (change.mode() == ServiceMode.DOWN) {
+            standin.listener().close();
+          } else {
+            standin.listener().open();
+          }
+        });
+  }
+
+  private void restart(HttpCall call, Exchange exchange) {
+    Standin standin = find(call.pathAfter("/admin/restarts/").orElseThrow());
+    if (!(standin instanceof EngineService engine)) {
+      throw new StandinException(StandinException.BAD_REQUEST, "only engines restart");
+    }
+    offLoop(exchange, engine::restart);
+  }
+
+  /** Runs an action that waits for event loops outside of them. */
+  private void offLoop(Exchange exchange, Runnable action) {
+    environment
+        .timer()
+        .after(
+            Duration.ZERO,
+            () -> {
+              action.run();
+              exchange.answer(HttpAnswer.empty(204));
+            });
+  }
+
+  private static ModeChange readMode(HttpCall call) {
+    try {
+      JsonNode body = MAPPER.readTree(call.body());
+      return new ModeChange(
+          ServiceMode.parse(body.path("mode").asText()),
+          Duration.ofMillis(body.path("delay_milliseconds").asLong()));
+    } catch (IOException exception) {
+      throw new StandinException(StandinException.BAD_REQUEST, "the body is not JSON", exception);
+    }
+  }
+
+  private ObjectNode calls() {
+    ObjectNode document = JsonNodeFactory.instance.objectNode();
+    for (Standin standin : standins) {
+      ObjectNode entry = document.putObject(standin.name()).put("calls", standin.calls());
+      if (standin instanceof PublicationService publication) {
+        entry.put("waiting_watches", publication.waitingWatches());
+      }
+      if (standin instanceof WeightStore store) {
+        entry.put("refused", store.refused());
+      }
+    }
+    return document;
+  }
+
+  private String ledgerLines(String upstream) {
+    return ledger.entries().stream()
+        .filter(entry -> upstream.isEmpty() || entry.upstream().equals(upstream))
+        .map(LedgerCodec::encode)
+        .map(line -> line + "\n")
+        .collect(Collectors.joining());
+  }
+
+  private PublicationService publication(String name) {
+    if (find(name) instanceof PublicationService publication) {
+      return publication;
+    }
+    throw new StandinException(StandinException.BAD_REQUEST, name + " holds no values");
+  }
+
+  private Standin find(String name) {
+    return standins.stream()
+        .filter(standin -> standin.name().equals(name))
+        .findFirst()
+        .orElseThrow(
+            () ->
+                new StandinException(
+                    StandinException.BAD_REQUEST, "there is no stand-in named " + name));
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/AdapterOrders.java
@@ -0,0 +1,150 @@
+package org.parsleyhead.standin.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.parsleyhead.core.api.Step;
+
+/**
+ * The decisions of an engine about orders to load and unload adapters.
+ *
+ * <p>Immutable and thread-safe. Nothing is evicted by itself: a load that finds all slots taken is
+ * refused. An order to unload an adapter that serves is obeyed and reported as a violation.
+ */
+final class AdapterOrders {
+
+  private final EngineSettings settings;
+
+  AdapterOrders(EngineSettings settings) {
+    this.settings = settings;
+  }
+
+  Step<EngineState, EngineEffect> load(EngineState state, EngineEvent.Load order) {
+    if (isFenced(state, order.fence())) {
+      return fenced(state, order.exchange());
+    }
+    EngineState fencedState = remember(state, order.fence());
+    EngineState.AdapterState known = state.adapters().get(order.adapter());
+    if (known instanceof EngineState.Resident) {
+      return refuse(
+          fencedState,
+          order.exchange(),
+          400,
+          "InvalidUserInput",
+          "The lora adapter '" + order.adapter() + "' has already been loaded.");
+    }
+    if (known instanceof EngineState.Loading loading) {
+      return Step.of(join(fencedState, order, loading));
+    }
+    if (state.adapters().size() >= settings.limits().adapterSlots()) {
+      return refuse(fencedState, order.exchange(), 409, "no_free_slot", "All slots are taken.");
+    }
+    EngineState.AdapterState loading = new EngineState.Loading(List.of(order.exchange()));
+    EngineState begun =
+        fencedState
+            .withAdapters(state.adapters().plus(order.adapter(), loading))
+            .withTotals(state.totals().withLoad());
+    return Step.of(begun, new EngineEffect.Fetch(order.adapter(), order.path()));
+  }
+
+  Step<EngineState, EngineEffect> unload(EngineState state, EngineEvent.Unload order) {
+    if (isFenced(state, order.fence())) {
+      return fenced(state, order.exchange());
+    }
+    EngineState fencedState = remember(state, order.fence());
+    String adapter = order.adapter();
+    if (!state.isResident(adapter)) {
+      return refuse(
+          fencedState,
+          order.exchange(),
+          404,
+          "NotFoundError",
+          "The lora adapter '" + adapter + "' cannot be found.");
+    }
+    List<EngineEffect> effects = new ArrayList<>();
+    if (serves(state.running(), adapter)) {
+      effects.add(
+          new EngineEffect.Violation(
+              "unload_while_serving", adapter, Optional.of(order.exchange())));
+    }
+    effects.add(
+        new EngineEffect.OrderDone(
+            order.exchange(), "Success: LoRA adapter '" + adapter + "' removed successfully."));
+    return new Step<>(fencedState.withAdapters(state.adapters().minus(adapter)), effects);
+  }
+
+  Step<EngineState, EngineEffect> weights(EngineState state, EngineEvent.Weights event) {
+    String adapter = event.adapter();
+    if (!(state.adapters().get(adapter) instanceof EngineState.Loading loading)) {
+      return Step.of(state);
+    }
+    if (!event.outcome().arrived()) {
+      return failed(state, adapter, loading, event.outcome());
+    }
+    if (fails(state, adapter)) {
+      return failed(state, adapter, loading, new FetchOutcome(500, Optional.empty()));
+    }
+    List<EngineEffect> effects = new ArrayList<>();
+    for (long order : loading.orders()) {
+      effects.add(
+          new EngineEffect.OrderDone(
+              order, "Success: LoRA adapter '" + adapter + "' added successfully."));
+    }
+    return new Step<>(
+        state.withAdapters(state.adapters().plus(adapter, new EngineState.Resident())), effects);
+  }
+
+  private Step<EngineState, EngineEffect> failed(
+      EngineState state, String adapter, EngineState.Loading loading, FetchOutcome outcome) {
+    List<EngineEffect> effects = new ArrayList<>();
+    for (long order : loading.orders()) {
+      effects.add(
+          new EngineEffect.Refuse(
+              order,
+              outcome.status() == 429 ? 503 : outcome.status(),
+              outcome.status() == 429 ? "weight_store_rate" : "load_failed",
+              "The lora adapter '" + adapter + "' could not be loaded.",
+              outcome.retryAfter()));
+    }
+    return new Step<>(state.withAdapters(state.adapters().minus(adapter)), effects);
+  }
+
+  private boolean fails(EngineState state, String adapter) {
+    long mixed =
+        TokenSequence.mix(
+            settings.faults().seed() + adapter.hashCode() * 31L + state.totals().loads());
+    double drawn = (mixed >>> 11) * 0x1.0p-53;
+    return drawn < settings.faults().loadFailureRate();
+  }
+
+  private static EngineState join(
+      EngineState state, EngineEvent.Load order, EngineState.Loading loading) {
+    List<Long> orders = new ArrayList<>(loading.orders());
+    orders.add(order.exchange());
+    return state.withAdapters(
+        state.adapters().plus(order.adapter(), new EngineState.Loading(List.copyOf(orders))));
+  }
+
+  private boolean isFenced(EngineState state, Optional<Long> fence) {
+    return settings.faults().checksFencing() && fence.orElse(0L) < state.highestFence();
+  }
+
+  private static EngineState remember(EngineState state, Optional<Long> fence) {
+    return state.withFence(Math.max(state.highestFence(), fence.orElse(0L)));
+  }
+
+  private static Step<EngineState, EngineEffect> fenced(EngineState state, long exchange) {
+    return refuse(
+        state, exchange, 409, "fenced", "A higher fencing number than this order's was seen.");
+  }
+
+  private static Step<EngineState, EngineEffect> refuse(
+      EngineState state, long exchange, int status, String type, String message) {
+    return Step.of(
+        state, new EngineEffect.Refuse(exchange, status, type, message, Optional.empty()));
+  }
+
+  private static boolean serves(List<Sequence> running, String adapter) {
+    return running.stream().anyMatch(sequence -> sequence.request().model().equals(adapter));
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/BatchSteps.java
@@ -0,0 +1,130 @@
+package org.parsleyhead.standin.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.standin.ServiceMode;
+
+/**
+ * The steps of continuous batching: requests join the batch between steps, and each step generates
+ * one token for every request in it.
+ *
+ * <p>Immutable and thread-safe. The batch never exceeds its limit, and a request joins only while
+ * its adapter is resident.
+ */
+final class BatchSteps {
+
+  private static final int TOKENS_PER_BLOCK = CompletionReader.BLOCK_CHARACTERS / 4;
+
+  private final EngineSettings settings;
+
+  BatchSteps(EngineSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Ends a step that is over, and begins the next one if there is work. */
+  Step<EngineState, EngineEffect> advance(EngineState state, MonotonicTime time) {
+    if (state.mode().mode() == ServiceMode.SILENT) {
+      return Step.of(state);
+    }
+    if (state.stepEnds().isEmpty()) {
+      return begin(state, time);
+    }
+    if (time.isBefore(state.stepEnds().get())) {
+      return Step.of(state);
+    }
+    Step<EngineState, EngineEffect> ended = end(state);
+    Step<EngineState, EngineEffect> begun = begin(ended.state(), time);
+    return new Step<>(begun.state(), ended.effects()).with(begun.effects());
+  }
+
+  private Step<EngineState, EngineEffect> end(EngineState state) {
+    List<Sequence> running = new ArrayList<>();
+    List<EngineEffect> effects = new ArrayList<>();
+    for (Sequence sequence : state.running()) {
+      effects.add(new EngineEffect.Token(sequence.exchange(), sequence.next()));
+      Sequence advanced = sequence.advanced();
+      if (advanced.finished()) {
+        boolean natural = advanced.target() < advanced.request().maximumTokens();
+        effects.add(new EngineEffect.Finished(advanced.exchange(), advanced.target(), natural));
+      } else if (breaksOff(state, advanced)) {
+        effects.add(new EngineEffect.Cancelled(advanced.exchange(), advanced.next(), true));
+      } else {
+        running.add(advanced);
+      }
+    }
+    EngineState next =
+        state
+            .withSequences(running, state.waiting())
+            .withStep(Optional.empty(), state.prefixCache(), Math.max(0, state.coldStepsLeft() - 1))
+            .withTotals(state.totals().withStep(state.running().size()));
+    return new Step<>(next, effects);
+  }
+
+  private static boolean breaksOff(EngineState state, Sequence sequence) {
+    return state.mode().mode() == ServiceMode.RESETTING
+        && 2 * sequence.generated() >= sequence.target() - sequence.request().resumeFrom();
+  }
+
+  private Step<EngineState, EngineEffect> begin(EngineState state, MonotonicTime time) {
+    List<Sequence> running = new ArrayList<>(state.running());
+    List<Sequence> waiting = new ArrayList<>();
+    List<EngineEffect> effects = new ArrayList<>();
+    PrefixCache cache = state.prefixCache();
+    long prefillTokens = 0;
+    for (Sequence sequence : state.waiting()) {
+      CompletionRequest request = sequence.request();
+      if (running.size() >= settings.limits().maximumBatch()) {
+        waiting.add(sequence);
+      } else if (!canServe(state, request.model())) {
+        effects.add(EngineCore.unknownModel(sequence.exchange(), request.model()));
+      } else {
+        prefillTokens += uncachedTokens(cache, request);
+        cache = cache.use(request.prefixBlocks());
+        running.add(sequence);
+        effects.add(new EngineEffect.Joined(sequence.exchange()));
+      }
+    }
+    EngineState admitted = state.withSequences(running, waiting);
+    if (running.isEmpty()) {
+      return new Step<>(admitted.withStep(Optional.empty(), cache, state.coldStepsLeft()), effects);
+    }
+    Duration duration = duration(admitted, prefillTokens);
+    effects.add(new EngineEffect.Schedule(duration));
+    return new Step<>(
+        admitted.withStep(Optional.of(time.plus(duration)), cache, state.coldStepsLeft()), effects);
+  }
+
+  private boolean canServe(EngineState state, String model) {
+    return model.equals(settings.baseModel()) || state.isResident(model);
+  }
+
+  private static long uncachedTokens(PrefixCache cache, CompletionRequest request) {
+    long cached = (long) cache.hits(request.prefixBlocks()) * TOKENS_PER_BLOCK;
+    return Math.max(1, request.promptTokens() + request.resumeFrom() - cached);
+  }
+
+  /** Returns how long a step of the batch takes. */
+  Duration duration(EngineState state, long prefillTokens) {
+    EngineSettings.Timing timing = settings.timing();
+    long adapters =
+        state.running().stream()
+            .map(sequence -> sequence.request().model())
+            .filter(model -> !model.equals(settings.baseModel()))
+            .distinct()
+            .count();
+    Duration duration =
+        timing
+            .base()
+            .plus(timing.perRequest().multipliedBy(state.running().size()))
+            .plus(timing.perAdapter().multipliedBy(adapters))
+            .plus(timing.perPrefillToken().multipliedBy(prefillTokens));
+    if (state.coldStepsLeft() > 0) {
+      duration = Duration.ofNanos((long) (duration.toNanos() * settings.faults().coldFactor()));
+    }
+    return duration.plus(state.mode().answerDelay());
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/CompletionWriter.java
@@ -0,0 +1,101 @@
+package org.parsleyhead.standin.engine;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Writes the answers to one request in the form of the OpenAI HTTP API.
+ *
+ * <p>Immutable and thread-safe. Usage counts the whole answer, with the tokens before the number
+ * from which it was resumed.
+ */
+final class CompletionWriter {
+
+  /** The last event of a stream. */
+  static final String DONE = "data: [DONE]\n\n";
+
+  private final String identifier;
+  private final long createdSeconds;
+  private final CompletionRequest request;
+  private final TokenSequence tokens;
+
+  CompletionWriter(String requestIdentifier, long createdSeconds, CompletionRequest request) {
+    this.identifier = (request.chat() ? "chatcmpl-" : "cmpl-") + requestIdentifier;
+    this.createdSeconds = createdSeconds;
+    this.request = request;
+    this.tokens = request.tokens();
+  }
+
+  /** Returns the event of one token. */
+  String tokenEvent(int number) {
+    ObjectNode document = document(request.chat() ? "chat.completion.chunk" : "text_completion");
+    ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
+    if (request.chat()) {
+      ObjectNode delta = choice.putObject("delta");
+      if (number == 0) {
+        delta.put("role", "assistant");
+      }
+      delta.put("content", tokens.text(number));
+    } else {
+      choice.put("text", tokens.text(number));
+    }
+    choice.putNull("finish_reason");
+    return event(document);
+  }
+
+  /** Returns the events at the end of a stream. */
+  String lastEvents(int length, boolean natural) {
+    ObjectNode document = document(request.chat() ? "chat.completion.chunk" : "text_completion");
+    ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
+    if (request.chat()) {
+      choice.putObject("delta");
+    } else {
+      choice.put("text", "");
+    }
+    choice.put("finish_reason", natural ? "stop" : "length");
+    if (!request.separateUsage()) {
+      putUsage(document, length);
+      return event(document) + DONE;
+    }
+    ObjectNode usage = document(document.get("object").textValue());
+    usage.putArray("choices");
+    putUsage(usage, length);
+    return event(document) + event(usage) + DONE;
+  }
+
+  /** Returns a whole answer. */
+  ObjectNode whole(int length, boolean natural) {
+    ObjectNode document = document(request.chat() ? "chat.completion" : "text_completion");
+    ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
+    String text = tokens.text(request.resumeFrom(), length);
+    if (request.chat()) {
+      choice.putObject("message").put("role", "assistant").put("content", text);
+    } else {
+      choice.put("text", text);
+    }
+    choice.put("finish_reason", natural ? "stop" : "length");
+    putUsage(document, length);
+    return document;
+  }
+
+  private ObjectNode document(String object) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("id", identifier)
+        .put("object", object)
+        .put("created", createdSeconds)
+        .put("model", request.model());
+  }
+
+  private void putUsage(ObjectNode document, int length) {
+    document
+        .putObject("usage")
+        .put("prompt_tokens", request.promptTokens())
+        .put("completion_tokens", length)
+        .put("total_tokens", request.promptTokens() + length);
+  }
+
+  private static String event(ObjectNode document) {
+    return "data: " + document + "\n\n";
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineCore.java
@@ -0,0 +1,145 @@
+package org.parsleyhead.standin.engine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.api.Transition;
+import org.parsleyhead.standin.ServiceMode;
+
+/**
+ * The decisions of an engine.
+ *
+ * <p>Immutable and thread-safe. A request that is refused has run nothing. The queue is ordered by
+ * priority and arrival.
+ */
+final class EngineCore implements Transition<EngineState, EngineEvent, EngineEffect> {
+
+  private static final Comparator<Sequence> ORDER =
+      Comparator.<Sequence>comparingInt(sequence -> sequence.request().priority())
+          .thenComparingLong(Sequence::arrival);
+
+  private final EngineSettings settings;
+  private final BatchSteps steps;
+  private final AdapterOrders orders;
+  private final LoadReports reports;
+
+  EngineCore(EngineSettings settings) {
+    this.settings = settings;
+    this.steps = new BatchSteps(settings);
+    this.orders = new AdapterOrders(settings);
+    this.reports = new LoadReports(settings);
+  }
+
+  @Override
+  public Step<EngineState, EngineEffect> apply(
+      EngineState state, EngineEvent event, MonotonicTime time) {
+    if (event instanceof EngineEvent.Submit submit) {
+      return submit(state, submit, time);
+    }
+    if (event instanceof EngineEvent.Closed closed) {
+      return cancel(state, closed.exchange());
+    }
+    if (event instanceof EngineEvent.Load load) {
+      return isUnavailable(state) ? unavailable(state, load.exchange()) : orders.load(state, load);
+    }
+    if (event instanceof EngineEvent.Unload unload) {
+      return isUnavailable(state)
+          ? unavailable(state, unload.exchange())
+          : orders.unload(state, unload);
+    }
+    if (event instanceof EngineEvent.Weights weights) {
+      return orders.weights(state, weights);
+    }
+    if (event instanceof EngineEvent.Mode mode) {
+      return Step.of(state.withMode(mode.change()));
+    }
+    if (event instanceof EngineEvent.Restart) {
+      return restart(state);
+    }
+    if (event instanceof EngineEvent.Tick) {
+      return steps.advance(reports.sample(state, time), time);
+    }
+    return steps.advance(state, time);
+  }
+
+  /** Returns the refusal of a model that is not there. */
+  static EngineEffect unknownModel(long exchange, String model) {
+    return new EngineEffect.Refuse(
+        exchange,
+        404,
+        "NotFoundError",
+        "The model `" + model + "` does not exist.",
+        Optional.empty());
+  }
+
+  private Step<EngineState, EngineEffect> submit(
+      EngineState state, EngineEvent.Submit submit, MonotonicTime time) {
+    CompletionRequest request = submit.request();
+    if (isUnavailable(state)) {
+      return unavailable(state, submit.exchange());
+    }
+    if (!request.model().equals(settings.baseModel()) && !state.isResident(request.model())) {
+      return Step.of(state, unknownModel(submit.exchange(), request.model()));
+    }
+    int target =
+        Math.min(
+            request.maximumTokens(),
+            request.tokens().naturalLength(settings.faults().naturalLength()));
+    if (request.resumeFrom() >= target) {
+      return Step.of(
+          state,
+          new EngineEffect.Finished(submit.exchange(), target, target < request.maximumTokens()));
+    }
+    Sequence sequence =
+        new Sequence(
+            submit.exchange(), state.totals().arrivals(), request, target, request.resumeFrom());
+    List<Sequence> waiting = new ArrayList<>(state.waiting());
+    waiting.add(sequence);
+    waiting.sort(ORDER);
+    EngineState queued =
+        state.withSequences(state.running(), waiting).withTotals(state.totals().withArrival());
+    return state.stepEnds().isPresent() ? Step.of(queued) : steps.advance(queued, time);
+  }
+
+  private static Step<EngineState, EngineEffect> cancel(EngineState state, long exchange) {
+    List<EngineEffect> effects = new ArrayList<>();
+    Stream.concat(state.running().stream(), state.waiting().stream())
+        .filter(sequence -> sequence.exchange() == exchange)
+        .map(sequence -> new EngineEffect.Cancelled(exchange, sequence.next(), false))
+        .forEach(effects::add);
+    return new Step<>(
+        state.withSequences(without(state.running(), exchange), without(state.waiting(), exchange)),
+        effects);
+  }
+
+  private static List<Sequence> without(List<Sequence> sequences, long exchange) {
+    return sequences.stream().filter(sequence -> sequence.exchange() != exchange).toList();
+  }
+
+  private Step<EngineState, EngineEffect> restart(EngineState state) {
+    List<EngineEffect> effects = new ArrayList<>();
+    Stream.concat(state.running().stream(), state.waiting().stream())
+        .map(sequence -> new EngineEffect.Cancelled(sequence.exchange(), sequence.next(), true))
+        .forEach(effects::add);
+    EngineState fresh =
+        EngineState.initial(settings).withMode(state.mode()).withTotals(state.totals());
+    return new Step<>(fresh, effects);
+  }
+
+  private static boolean isUnavailable(EngineState state) {
+    ServiceMode mode = state.mode().mode();
+    return mode == ServiceMode.UNAVAILABLE || mode == ServiceMode.FAILING;
+  }
+
+  private static Step<EngineState, EngineEffect> unavailable(EngineState state, long exchange) {
+    int status = state.mode().mode() == ServiceMode.FAILING ? 500 : 503;
+    return Step.of(
+        state,
+        new EngineEffect.Refuse(
+            exchange, status, "unavailable", "The engine is not available.", Optional.empty()));
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineFactory.java
@@ -0,0 +1,55 @@
+package org.parsleyhead.standin.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.asynchttpclient.AsyncHttpClient;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.standin.StandinEnvironment;
+import org.parsleyhead.standin.ledger.Ledger;
+
+/**
+ * Creates the engines of one process.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class EngineFactory {
+
+  private static final Duration TRANSFER_TIME = Duration.ofMillis(250);
+
+  private final AsyncHttpClient client;
+  private final Optional<Endpoint> weightStore;
+  private final Ledger ledger;
+  private final StandinEnvironment environment;
+
+  /**
+   * Creates a factory.
+   *
+   * @param client fetches weights
+   * @param weightStore the weight store; if there is none, each load takes a fixed time
+   * @param ledger where the engines record what they run
+   * @param environment what all stand-ins share
+   */
+  public EngineFactory(
+      AsyncHttpClient client,
+      Optional<Endpoint> weightStore,
+      Ledger ledger,
+      StandinEnvironment environment) {
+    this.client = client;
+    this.weightStore = weightStore;
+    this.ledger = ledger;
+    this.environment = environment;
+  }
+
+  /** Starts an engine whose listener is not yet open. */
+  public EngineService create(String name, Endpoint endpoint, EngineSettings settings) {
+    return new EngineService(name, endpoint, settings, source(), ledger, environment);
+  }
+
+  private WeightSource source() {
+    if (weightStore.isPresent()) {
+      return new HttpWeightSource(client, weightStore.get());
+    }
+    return (path, whenDone) ->
+        environment.timer().after(TRANSFER_TIME, () -> whenDone.accept(FetchOutcome.ARRIVED));
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/RunningCompletion.java
@@ -0,0 +1,95 @@
+package org.parsleyhead.standin.engine;
+
+import java.util.List;
+import java.util.UUID;
+import org.parsleyhead.standin.http.Exchange;
+import org.parsleyhead.standin.http.HeaderField;
+import org.parsleyhead.standin.http.HttpAnswer;
+import org.parsleyhead.standin.http.HttpCall;
+import org.parsleyhead.standin.ledger.ContentDigest;
+import org.parsleyhead.standin.ledger.LedgerEntry;
+
+/**
+ * A completion between its request and the end of its answer.
+ *
+ * <p>Confined to the duty of its engine, apart from its creation. The head of a stream is sent with
+ * its first event, so that a refusal still has its own status.
+ */
+final class RunningCompletion {
+
+  private final String upstream;
+  private final HttpCall call;
+  private final Exchange exchange;
+  private final CompletionRequest request;
+  private final String identifier;
+  private final CompletionWriter writer;
+  private final long arrivalMilliseconds;
+  private boolean begun;
+
+  RunningCompletion(String upstream, HttpCall call, Exchange exchange, CompletionRequest request) {
+    this.upstream = upstream;
+    this.call = call;
+    this.exchange = exchange;
+    this.request = request;
+    this.identifier = call.header("X-Request-Id").orElseGet(() -> UUID.randomUUID().toString());
+    this.arrivalMilliseconds = System.currentTimeMillis();
+    this.writer = new CompletionWriter(identifier, arrivalMilliseconds / 1000, request);
+  }
+
+  Exchange exchange() {
+    return exchange;
+  }
+
+  void token(int number) {
+    if (request.streamed()) {
+      begin();
+      exchange.send(writer.tokenEvent(number));
+    }
+  }
+
+  void finish(int length, boolean natural) {
+    if (request.streamed()) {
+      begin();
+      exchange.send(writer.lastEvents(length, natural));
+      exchange.end();
+    } else {
+      exchange.answer(
+          HttpAnswer.json(200, writer.whole(length, natural)).with("X-Request-Id", identifier));
+    }
+  }
+
+  void refuse(HttpAnswer answer) {
+    exchange.answer(answer.with("X-Request-Id", identifier));
+  }
+
+  LedgerEntry entry(String outcome, int nextToken, String note) {
+    return new LedgerEntry(
+        upstream,
+        "completion",
+        call.header("X-Request-Id"),
+        request.model(),
+        call.method() + " " + call.path(),
+        call.header("Idempotency-Key"),
+        ContentDigest.of(request.prompt()),
+        call.headers(),
+        arrivalMilliseconds,
+        System.currentTimeMillis(),
+        outcome,
+        request.promptTokens(),
+        request.resumeFrom(),
+        Math.max(0, nextToken - request.resumeFrom()),
+        note);
+  }
+
+  private void begin() {
+    if (!begun) {
+      begun = true;
+      exchange.begin(
+          200,
+          List.of(
+              new HeaderField("Content-Type", "text/event-stream; charset=utf-8"),
+              new HeaderField("Cache-Control", "no-cache"),
+              new HeaderField("X-Request-Id", identifier)));
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/TokenSequence.java
@@ -0,0 +1,64 @@
+package org.parsleyhead.standin.engine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.parsleyhead.standin.ledger.ContentDigest;
+
+/**
+ * The tokens that an engine stand-in generates for a model and a prompt.
+ *
+ * <p>Immutable and thread-safe. Each token holds its number and a hash of model, prompt and number,
+ * so that a missing, doubled or foreign token is recognised.
+ */
+public final class TokenSequence {
+
+  private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+  private static final int CHARACTERS_PER_TOKEN = 4;
+
+  private final long seed;
+
+  private TokenSequence(long seed) {
+    this.seed = seed;
+  }
+
+  /** Returns the tokens for a model and a prompt. */
+  public static TokenSequence of(String model, String prompt) {
+    byte[] content = (model + '\n' + prompt).getBytes(StandardCharsets.UTF_8);
+    return new TokenSequence(ByteBuffer.wrap(ContentDigest.bytes(content)).getLong());
+  }
+
+  /** Returns the length of a prompt in tokens, at least one. */
+  public static int promptTokens(String prompt) {
+    return Math.max(1, (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
+  }
+
+  /** Returns a token, with a space at its end. */
+  public String text(int number) {
+    return String.format("%d:%08x ", number, (int) (mix(seed + number * MULTIPLIER) >>> 32));
+  }
+
+  /** Returns the tokens from one number up to but not including another. */
+  public String text(int from, int to) {
+    StringBuilder text = new StringBuilder();
+    for (int number = from; number < to; number++) {
+      text.append(text(number));
+    }
+    return text.toString();
+  }
+
+  /**
+   * Returns the length at which the answer ends by itself.
+   *
+   * @param longest the greatest such length; zero if the answer does not end by itself
+   */
+  public int naturalLength(int longest) {
+    return longest == 0 ? Integer.MAX_VALUE : 1 + (int) Long.remainderUnsigned(mix(seed), longest);
+  }
+
+  /** Returns a well spread hash of a number. */
+  static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/WeightSource.java
@@ -0,0 +1,11 @@
+package org.parsleyhead.standin.engine;
+
+import java.util.function.Consumer;
+
+/** Fetches the weights of adapters. Implementations are thread-safe and do not block. */
+@FunctionalInterface
+interface WeightSource {
+
+  /** Fetches weights and calls back once, from any thread. */
+  void fetch(String path, Consumer<FetchOutcome> whenDone);
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/CallHandler.java
@@ -0,0 +1,9 @@
+package org.parsleyhead.standin.http;
+
+/** Takes up one request. Implementations are thread-safe and do not block. */
+@FunctionalInterface
+public interface CallHandler {
+
+  /** Takes up a request; its answer may follow later from another thread. */
+  void handle(HttpCall call, Exchange exchange);
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/ChannelExchange.java
@@ -0,0 +1,106 @@
+package org.parsleyhead.standin.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** An exchange on a Netty channel. Thread-safe, since channels are. */
+final class ChannelExchange implements Exchange {
+
+  private final Channel channel;
+  private final boolean keepAlive;
+  private Runnable closingAction = () -> {};
+  private boolean closed;
+
+  ChannelExchange(Channel channel, boolean keepAlive) {
+    this.channel = channel;
+    this.keepAlive = keepAlive;
+  }
+
+  @Override
+  public void answer(HttpAnswer answer) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answer.status()),
+            Unpooled.wrappedBuffer(answer.body()));
+    setHeaders(response, answer.headers());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+    write(response, true);
+  }
+
+  @Override
+  public void begin(int status, List<HeaderField> headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    setHeaders(response, headers);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    write(response, false);
+  }
+
+  @Override
+  public void send(String piece) {
+    byte[] bytes = piece.getBytes(StandardCharsets.UTF_8);
+    write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), false);
+  }
+
+  @Override
+  public void end() {
+    write(LastHttpContent.EMPTY_LAST_CONTENT, true);
+  }
+
+  @Override
+  public void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
+  @Override
+  public void whenClosed(Runnable action) {
+    if (setClosingAction(action)) {
+      action.run();
+    }
+  }
+
+  /** Runs the closing action; called once, when the connection of this exchange closed. */
+  void connectionClosed() {
+    markClosed().run();
+  }
+
+  private synchronized boolean setClosingAction(Runnable action) {
+    closingAction = action;
+    return closed;
+  }
+
+  private synchronized Runnable markClosed() {
+    closed = true;
+    return closingAction;
+  }
+
+  private void setHeaders(HttpResponse response, List<HeaderField> headers) {
+    headers.forEach(field -> response.headers().add(field.name(), field.value()));
+    if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void write(Object message, boolean last) {
+    var written = channel.writeAndFlush(message);
+    if (last && !keepAlive) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/HttpCall.java
@@ -0,0 +1,118 @@
+package org.parsleyhead.standin.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.parsleyhead.standin.StandinException;
+
+/**
+ * One received request with its whole body.
+ *
+ * <p>Immutable and thread-safe as long as nobody changes the body.
+ */
+public final class HttpCall {
+
+  private final String method;
+  private final String path;
+  private final Map<String, String> query;
+  private final List<HeaderField> headers;
+  private final byte[] body;
+
+  /**
+   * Creates a call.
+   *
+   * @param method the method in upper case
+   * @param path the decoded path without the query
+   * @param query the first value of each query parameter
+   * @param headers all header fields in the order of receipt
+   * @param body the body, not changed afterwards
+   */
+  public HttpCall(
+      String method,
+      String path,
+      Map<String, String> query,
+      List<HeaderField> headers,
+      byte[] body) {
+    this.method = method;
+    this.path = path;
+    this.query = Map.copyOf(query);
+    this.headers = List.copyOf(headers);
+    this.body = body;
+  }
+
+  /** Returns the method in upper case. */
+  public String method() {
+    return method;
+  }
+
+  /** Returns the path without the query. */
+  public String path() {
+    return path;
+  }
+
+  /** Tells whether this call has a method and a path. */
+  public boolean is(String expectedMethod, String expectedPath) {
+    return method.equals(expectedMethod) && path.equals(expectedPath);
+  }
+
+  /** Returns what follows a prefix of the path; empty if the path does not start with it. */
+  public Optional<String> pathAfter(String prefix) {
+    return path.startsWith(prefix)
+        ? Optional.of(path.substring(prefix.length()))
+        : Optional.empty();
+  }
+
+  /** Returns a query parameter. */
+  public Optional<String> query(String name) {
+    return Optional.ofNullable(query.get(name));
+  }
+
+  /**
+   * Returns a query parameter that is a number of zero or more, or a default if it is absent.
+   *
+   * @throws StandinException if the value is no such number
+   */
+  public long queryNumber(String name, long defaultValue) {
+    return query(name).map(text -> parseNumber(name, text)).orElse(defaultValue);
+  }
+
+  /** Returns all header fields. */
+  public List<HeaderField> headers() {
+    return headers;
+  }
+
+  /** Returns the first value of a header; its name is compared without regard to case. */
+  public Optional<String> header(String name) {
+    return headers.stream()
+        .filter(field -> field.name().equalsIgnoreCase(name))
+        .map(HeaderField::value)
+        .findFirst();
+  }
+
+  /**
+   * Returns a header that is a number of zero or more.
+   *
+   * @throws StandinException if the value is no such number
+   */
+  public Optional<Long> headerNumber(String name) {
+    return header(name).map(text -> parseNumber(name, text));
+  }
+
+  /** Returns the body; the caller does not change it. */
+  public byte[] body() {
+    return body;
+  }
+
+  /** Returns the body as text. */
+  public String bodyText() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  private static long parseNumber(String name, String text) {
+    if (!text.matches("[0-9]{1,18}")) {
+      throw new StandinException(StandinException.BAD_REQUEST, name + " must be a whole number");
+    }
+    return Long.parseLong(text);
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/ledger/Ledger.java
@@ -0,0 +1,86 @@
+package org.parsleyhead.standin.ledger;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.parsleyhead.standin.StandinException;
+
+/**
+ * Keeps the entries of all upstreams of one process, in memory and, if there is a file, on disk.
+ *
+ * <p>Thread-safe. Entries keep the order in which they were recorded; a line is written whole
+ * before the next one.
+ */
+public final class Ledger implements AutoCloseable {
+
+  private final Optional<BufferedWriter> writer;
+  private final List<LedgerEntry> entries = new ArrayList<>();
+
+  private Ledger(Optional<BufferedWriter> writer) {
+    this.writer = writer;
+  }
+
+  /** Creates a ledger in memory. */
+  public static Ledger inMemory() {
+    return new Ledger(Optional.empty());
+  }
+
+  /**
+   * Creates a ledger that also writes a file, which is replaced if it exists.
+   *
+   * @throws StandinException if the file cannot be written
+   */
+  public static Ledger inFile(Path file) {
+    try {
+      return new Ledger(Optional.of(Files.newBufferedWriter(file)));
+    } catch (IOException exception) {
+      throw failed(exception);
+    }
+  }
+
+  /** Records an entry. */
+  public synchronized void record(LedgerEntry entry) {
+    entries.add(entry);
+    writer.ifPresent(file -> write(file, entry));
+  }
+
+  /** Returns all entries since the start or the last clearing. */
+  public synchronized List<LedgerEntry> entries() {
+    return List.copyOf(entries);
+  }
+
+  /** Forgets the entries in memory. */
+  public synchronized void clear() {
+    entries.clear();
+  }
+
+  @Override
+  public synchronized void close() {
+    try {
+      if (writer.isPresent()) {
+        writer.get().close();
+      }
+    } catch (IOException exception) {
+      throw failed(exception);
+    }
+  }
+
+  private static void write(BufferedWriter file, LedgerEntry entry) {
+    try {
+      file.write(LedgerCodec.encode(entry));
+      file.newLine();
+      file.flush();
+    } catch (IOException exception) {
+      throw failed(exception);
+    }
+  }
+
+  private static StandinException failed(IOException exception) {
+    return new StandinException(
+        StandinException.FILE_FAILED, "the ledger: " + exception.getMessage(), exception);
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationCore.java
@@ -0,0 +1,111 @@
+package org.parsleyhead.standin.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.api.Transition;
+import org.parsleyhead.standin.ServiceMode;
+import org.pcollections.PMap;
+
+/**
+ * The decisions of a service that publishes values to read and watch.
+ *
+ * <p>Stateless and thread-safe. A waiting reader is answered once: with the value as soon as its
+ * revision is above the reader's, or with the news that nothing changed when its wait is over.
+ */
+final class PublicationCore
+    implements Transition<PublicationState, PublicationEvent, PublicationEffect> {
+
+  @Override
+  public Step<PublicationState, PublicationEffect> apply(
+      PublicationState state, PublicationEvent event, MonotonicTime time) {
+    if (event instanceof PublicationEvent.Put put) {
+      return answerWatches(put(state, put), time);
+    }
+    if (event instanceof PublicationEvent.Delete delete) {
+      PMap<String, PublishedValue> current = state.current().minus(delete.path());
+      return Step.of(show(state, state.revision() + 1, current));
+    }
+    if (event instanceof PublicationEvent.Read read) {
+      return read(state.withOneMoreCall(), read);
+    }
+    if (event instanceof PublicationEvent.Watch watch) {
+      return watch(state.withOneMoreCall(), watch, time);
+    }
+    if (event instanceof PublicationEvent.Closed closed) {
+      return Step.of(
+          state.withWatches(
+              state.watches().stream()
+                  .filter(waiting -> waiting.exchange() != closed.exchange())
+                  .toList()));
+    }
+    if (event instanceof PublicationEvent.Mode mode) {
+      boolean stale = mode.change().mode() == ServiceMode.STALE;
+      return answerWatches(
+          state.withMode(mode.change(), stale ? state.visible() : state.current()), time);
+    }
+    return answerWatches(state, time);
+  }
+
+  private static PublicationState put(PublicationState state, PublicationEvent.Put put) {
+    long revision = put.revision().orElse(state.revision() + 1);
+    PublishedValue value = new PublishedValue(revision, put.bytes());
+    return show(state, revision, state.current().plus(put.path(), value));
+  }
+
+  private static PublicationState show(
+      PublicationState state, long revision, PMap<String, PublishedValue> current) {
+    boolean stale = state.mode().mode() == ServiceMode.STALE;
+    return state.withValues(revision, current, stale ? state.visible() : current);
+  }
+
+  private static Step<PublicationState, PublicationEffect> read(
+      PublicationState state, PublicationEvent.Read read) {
+    return switch (state.mode().mode()) {
+      case UNAVAILABLE, FAILING ->
+          Step.of(state, new PublicationEffect.Unavailable(read.exchange()));
+      case SILENT -> Step.of(state);
+      default -> Step.of(state, valueOf(state, read.exchange(), read.path()));
+    };
+  }
+
+  private static PublicationEffect valueOf(PublicationState state, long exchange, String path) {
+    PublishedValue value = state.visible().get(path);
+    return value == null
+        ? new PublicationEffect.Missing(exchange, state.mode().answerDelay())
+        : new PublicationEffect.Found(exchange, value, state.mode().answerDelay());
+  }
+
+  private static Step<PublicationState, PublicationEffect> watch(
+      PublicationState state, PublicationEvent.Watch watch, MonotonicTime time) {
+    if (state.mode().mode() == ServiceMode.UNAVAILABLE) {
+      return Step.of(state, new PublicationEffect.Unavailable(watch.exchange()));
+    }
+    List<PublicationState.Waiting> watches = new ArrayList<>(state.watches());
+    watches.add(
+        new PublicationState.Waiting(
+            watch.exchange(), watch.path(), watch.revision(), time.plus(watch.longest())));
+    return answerWatches(state.withWatches(watches), time);
+  }
+
+  private static Step<PublicationState, PublicationEffect> answerWatches(
+      PublicationState state, MonotonicTime time) {
+    if (state.watches().isEmpty() || state.mode().mode() == ServiceMode.SILENT) {
+      return Step.of(state);
+    }
+    List<PublicationState.Waiting> remaining = new ArrayList<>();
+    List<PublicationEffect> effects = new ArrayList<>();
+    for (PublicationState.Waiting waiting : state.watches()) {
+      PublishedValue value = state.visible().get(waiting.path());
+      if (value != null && value.revision() > waiting.revision()) {
+        effects.add(valueOf(state, waiting.exchange(), waiting.path()));
+      } else if (waiting.deadline().isBefore(time)) {
+        effects.add(new PublicationEffect.Unchanged(waiting.exchange()));
+      } else {
+        remaining.add(waiting);
+      }
+    }
+    return effects.isEmpty() ? Step.of(state) : new Step<>(state.withWatches(remaining), effects);
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationService.java
@@ -0,0 +1,181 @@
+package org.parsleyhead.standin.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.parsleyhead.codec.json.HostListCodec;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.runtime.duty.Duty;
+import org.parsleyhead.runtime.duty.Ring;
+import org.parsleyhead.standin.ModeChange;
+import org.parsleyhead.standin.Standin;
+import org.parsleyhead.standin.StandinEnvironment;
+import org.parsleyhead.standin.StandinException;
+import org.parsleyhead.standin.http.Exchange;
+import org.parsleyhead.standin.http.ExchangeTable;
+import org.parsleyhead.standin.http.HttpAnswer;
+import org.parsleyhead.standin.http.HttpCall;
+import org.parsleyhead.standin.http.HttpListener;
+
+/**
+ * A stand-in for the configuration service or the host list: a listener round a publication core.
+ *
+ * <p>Thread-safe. Callers only read and watch; values are set by the administration of the process.
+ * A call that finds the ring full is refused with 503.
+ */
+public final class PublicationService implements Standin {
+
+  private static final int RING_CAPACITY = 16_384;
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
+
+  private final String kind;
+  private final PublicationRouter router;
+  private final StandinEnvironment environment;
+  private final HttpListener listener;
+  private final ExchangeTable<Exchange> exchanges = new ExchangeTable<>();
+  private final Duty<PublicationState, PublicationEvent, PublicationEffect> duty;
+
+  private PublicationService(
+      String kind, Endpoint endpoint, PublicationRouter router, StandinEnvironment environment) {
+    this.kind = kind;
+    this.router = router;
+    this.environment = environment;
+    this.listener = new HttpListener(environment.group(), endpoint, this::handle);
+    this.duty =
+        new Duty<>(
+            new Ring<>(kind, RING_CAPACITY),
+            PublicationState.INITIAL,
+            new PublicationCore(),
+            this::carryOut,
+            PublicationEvent.Tick::new,
+            TICK_INTERVAL,
+            environment.clock(),
+            failure -> environment.failed(kind, failure));
+    duty.start();
+  }
+
+  /** Starts a configuration service whose listener is not yet open. */
+  public static PublicationService configuration(
+      Endpoint endpoint, StandinEnvironment environment) {
+    return new PublicationService(
+        "configuration", endpoint, PublicationRouter::configuration, environment);
+  }
+
+  /** Starts a host list whose listener is not yet open. */
+  public static PublicationService hosts(Endpoint endpoint, StandinEnvironment environment) {
+    return new PublicationService("hosts", endpoint, PublicationRouter::hosts, environment);
+  }
+
+  /** Sets a value. */
+  public void put(String path, byte[] bytes) {
+    offer(new PublicationEvent.Put(path, bytes, OptionalLong.empty()));
+  }
+
+  /**
+   * Sets the host list; its revision is the version that it names.
+   *
+   * @throws org.parsleyhead.codec.CodecException if the document is no host list
+   */
+  public void putHosts(byte[] document) {
+    long version = HostListCodec.decode(document).version();
+    offer(
+        new PublicationEvent.Put(PublicationRouter.HOSTS_PATH, document, OptionalLong.of(version)));
+  }
+
+  /** Removes a value. */
+  public void delete(String path) {
+    offer(new PublicationEvent.Delete(path));
+  }
+
+  /** Returns how many readers wait now. */
+  public int waitingWatches() {
+    return duty.state().watches().size();
+  }
+
+  @Override
+  public String kind() {
+    return kind;
+  }
+
+  @Override
+  public String name() {
+    return kind;
+  }
+
+  @Override
+  public HttpListener listener() {
+    return listener;
+  }
+
+  @Override
+  public void changeMode(ModeChange change) {
+    offer(new PublicationEvent.Mode(change));
+  }
+
+  @Override
+  public long calls() {
+    return duty.state().calls();
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+    duty.close();
+  }
+
+  private void handle(HttpCall call, Exchange exchange) {
+    long number = exchanges.add(exchange);
+    Optional<PublicationEvent> event = router.route(call, number);
+    if (event.isEmpty()) {
+      exchanges.remove(number);
+      exchange.answer(HttpAnswer.error(404, "not_found", "no such call: " + call.path()));
+    } else if (!duty.ring().offer(event.get())) {
+      exchanges.remove(number);
+      exchange.answer(HttpAnswer.error(503, "busy", "the stand-in has too many calls"));
+    } else {
+      exchange.whenClosed(() -> closed(number));
+    }
+  }
+
+  private void closed(long number) {
+    if (exchanges.remove(number).isPresent()) {
+      duty.ring().offer(new PublicationEvent.Closed(number));
+    }
+  }
+
+  private void offer(PublicationEvent event) {
+    if (!duty.ring().offer(event)) {
+      throw new StandinException(StandinException.BAD_REQUEST, kind + " has too many calls");
+    }
+  }
+
+  private void carryOut(PublicationEffect effect) {
+    if (effect instanceof PublicationEffect.Found found) {
+      HttpAnswer answer =
+          HttpAnswer.of(200, "application/json", found.value().bytes())
+              .with("Revision", Long.toString(found.value().revision()));
+      answer(found.exchange(), answer, found.delay());
+    } else if (effect instanceof PublicationEffect.Missing missing) {
+      HttpAnswer answer = HttpAnswer.error(404, "not_found", "there is no such value");
+      answer(missing.exchange(), answer, missing.delay());
+    } else if (effect instanceof PublicationEffect.Unchanged) {
+      answer(effect.exchange(), HttpAnswer.empty(304), Duration.ZERO);
+    } else {
+      HttpAnswer answer = HttpAnswer.error(503, "unavailable", "the service is not available");
+      answer(effect.exchange(), answer, Duration.ZERO);
+    }
+  }
+
+  private void answer(long number, HttpAnswer answer, Duration delay) {
+    exchanges
+        .remove(number)
+        .ifPresent(
+            exchange -> {
+              if (delay.isZero()) {
+                exchange.answer(answer);
+              } else {
+                environment.timer().after(delay, () -> exchange.answer(answer));
+              }
+            });
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of the stand-ins. */
+package org.parsleyhead.standin.settings;
