--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinEnvironment.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinEnvironment.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.standin;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.Executor;
 import org.parsleyhead.runtime.duty.MonotonicClock;
 import org.parsleyhead.runtime.log.EventLog;
 
@@ -11,11 +12,16 @@
  *
  * @param group the event loops of all listeners
  * @param timer runs actions later
+ * @param maintenance runs actions that wait until a listener is open or closed
  * @param clock the monotonic clock
  * @param log the log
  */
 public record StandinEnvironment(
-    EventLoopGroup group, DelayTimer timer, MonotonicClock clock, EventLog log) {
+    EventLoopGroup group,
+    DelayTimer timer,
+    Executor maintenance,
+    MonotonicClock clock,
+    EventLog log) {
 
   /** Logs the failure of an event of a duty. */
   public void failed(String name, Throwable cause) {
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
@@ -10,6 +10,9 @@
 import org.parsleyhead.standin.plain.PlainService;
 import org.parsleyhead.standin.platform.PublicationService;
 import org.parsleyhead.standin.platform.WeightStore;
+import org.parsleyhead.standin.proxy.DirectionFault;
+import org.parsleyhead.standin.proxy.FaultProxy;
+import org.parsleyhead.standin.proxy.ProxyFault;
 import org.parsleyhead.standin.settings.StandinSettings;
 
 /**
@@ -21,6 +24,7 @@
 public final class StandinFleet implements AutoCloseable {
 
   private final List<Standin> standins;
+  private final List<FaultProxy> proxies;
   private final AdministrationService administration;
   private final Ledger ledger;
 
@@ -30,8 +34,11 @@
     this.ledger =
         settings.ledgerFile().map(Path::of).map(Ledger::inFile).orElseGet(Ledger::inMemory);
     this.standins = create(settings, client, ledger, environment);
+    this.proxies =
+        settings.proxies().stream().map(proxy -> createProxy(proxy, environment)).toList();
     this.administration =
-        new AdministrationService(settings.administration(), standins, ledger, environment);
+        new AdministrationService(
+            settings.administration(), standins, proxies, ledger, environment);
   }
 
   private static List<Standin> create(
@@ -72,6 +79,18 @@
     return standins;
   }
 
+  private static FaultProxy createProxy(
+      StandinSettings.Proxy proxy, StandinEnvironment environment) {
+    DirectionFault delay = DirectionFault.delayed(proxy.delay());
+    return new FaultProxy(
+        proxy.name(),
+        proxy.endpoint(),
+        proxy.target(),
+        ProxyFault.on(ProxyFault.Scope.ALL, delay, delay),
+        environment.group(),
+        environment.clock());
+  }
+
   /**
    * Opens all listeners.
    *
@@ -79,6 +98,7 @@
    */
   public void open() {
     standins.forEach(standin -> standin.listener().open());
+    proxies.forEach(FaultProxy::open);
     administration.listener().open();
   }
 
@@ -89,6 +109,7 @@
         standin ->
             lines.add(
                 line(standin.kind(), standin.name(), standin.listener().endpoint().toString())));
+    proxies.forEach(proxy -> lines.add(line("proxy", proxy.name(), proxy.endpoint().toString())));
     lines.add(
         line("administration", "administration", administration.listener().endpoint().toString()));
     return lines;
@@ -101,6 +122,7 @@
   @Override
   public void close() {
     administration.listener().close();
+    proxies.forEach(FaultProxy::close);
     standins.forEach(Standin::close);
     ledger.close();
   }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinMain.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinMain.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
@@ -39,7 +40,7 @@
     StandinSettings settings = read(settingsFile);
     EventLog.configureProcess();
     EventLog log = new EventLog("standin");
-    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(StandinMain::timer);
+    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("timer"));
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
     AsyncHttpClient client =
         Dsl.asyncHttpClient(
@@ -48,6 +49,7 @@
         new StandinEnvironment(
             group,
             (delay, action) -> timer.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS),
+            Executors.newSingleThreadExecutor(daemon("maintenance")),
             MonotonicClock.SYSTEM,
             log);
     StandinFleet fleet = new StandinFleet(settings, client, environment);
@@ -88,9 +90,11 @@
     }
   }
 
-  private static Thread timer(Runnable runnable) {
-    Thread thread = new Thread(runnable, "timer");
-    thread.setDaemon(true);
-    return thread;
+  private static ThreadFactory daemon(String name) {
+    return runnable -> {
+      Thread thread = new Thread(runnable, name);
+      thread.setDaemon(true);
+      return thread;
+    };
   }
 }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
@@ -23,6 +23,9 @@
 import org.parsleyhead.standin.ledger.LedgerCodec;
 import org.parsleyhead.standin.platform.PublicationService;
 import org.parsleyhead.standin.platform.WeightStore;
+import org.parsleyhead.standin.proxy.FaultProxy;
+import org.parsleyhead.standin.proxy.ProxyFault;
+import org.parsleyhead.standin.proxy.ProxyFaultReader;
 
 /**
  * The administration of all stand-ins of one process.
@@ -36,13 +39,19 @@
 
   private final HttpListener listener;
   private final List<Standin> standins;
+  private final List<FaultProxy> proxies;
   private final Ledger ledger;
   private final StandinEnvironment environment;
 
   /** Creates the administration; its listener is not yet open. */
   public AdministrationService(
-      Endpoint endpoint, List<Standin> standins, Ledger ledger, StandinEnvironment environment) {
+      Endpoint endpoint,
+      List<Standin> standins,
+      List<FaultProxy> proxies,
+      Ledger ledger,
+      StandinEnvironment environment) {
     this.standins = List.copyOf(standins);
+    this.proxies = List.copyOf(proxies);
     this.ledger = ledger;
     this.environment = environment;
     this.listener = new HttpListener(environment.group(), endpoint, this::handle);
@@ -58,6 +67,8 @@
       changeMode(call, exchange);
     } else if (call.pathAfter("/admin/restarts/").isPresent() && call.method().equals("POST")) {
       restart(call, exchange);
+    } else if (call.pathAfter("/admin/proxies/").isPresent() && call.method().equals("PUT")) {
+      switchProxy(call, exchange);
     } else {
       exchange.answer(answer(call));
     }
@@ -118,15 +129,32 @@
     offLoop(exchange, engine::restart);
   }
 
+  private void switchProxy(HttpCall call, Exchange exchange) {
+    String name = call.pathAfter("/admin/proxies/").orElseThrow();
+    FaultProxy proxy =
+        proxies.stream()
+            .filter(candidate -> candidate.name().equals(name))
+            .findFirst()
+            .orElseThrow(
+                () ->
+                    new StandinException(
+                        StandinException.BAD_REQUEST, "there is no proxy named " + name));
+    ProxyFault fault = ProxyFaultReader.read(call.body());
+    offLoop(exchange, () -> proxy.switchTo(fault));
+  }
+
   /** Runs an action that waits for event loops outside of them. */
   private void offLoop(Exchange exchange, Runnable action) {
     environment
-        .timer()
-        .after(
-            Duration.ZERO,
+        .maintenance()
+        .execute(
             () -> {
-              action.run();
-              exchange.answer(HttpAnswer.empty(204));
+              try {
+                action.run();
+                exchange.answer(HttpAnswer.empty(204));
+              } catch (StandinException exception) {
+                exchange.answer(HttpAnswer.error(500, exception.code(), exception.getMessage()));
+              }
             });
   }
 
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineService.java
@@ -100,7 +100,11 @@
   public void restart() {
     offer(new EngineEvent.Restart());
     listener.close();
-    environment.timer().after(settings.faults().restartTime(), listener::open);
+    environment
+        .timer()
+        .after(
+            settings.faults().restartTime(),
+            () -> environment.maintenance().execute(listener::open));
   }
 
   @Override
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.standin.settings;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.Endpoint;
@@ -19,6 +20,7 @@
  * @param weightStore the weight store that the engines use, possibly of another process
  * @param engines the engines
  * @param services the plain services
+ * @param proxies the proxies that inject faults
  * @param ledgerFile the file of the ledger
  */
 public record StandinSettings(
@@ -29,12 +31,14 @@
     Optional<Endpoint> weightStore,
     List<Engine> engines,
     List<Service> services,
+    List<Proxy> proxies,
     Optional<String> ledgerFile) {
 
   /** Copies the lists. */
   public StandinSettings {
     engines = List.copyOf(engines);
     services = List.copyOf(services);
+    proxies = List.copyOf(proxies);
   }
 
   /** A weight store with its endpoint. */
@@ -45,4 +49,7 @@
 
   /** A plain service with its name and endpoint. */
   public record Service(String name, Endpoint endpoint, PlainServiceSettings settings) {}
+
+  /** A proxy with its name, where it listens, where it connects to and its delay one way. */
+  public record Proxy(String name, Endpoint endpoint, Endpoint target, Duration delay) {}
 }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.runtime.settings.SettingsException;
 import org.parsleyhead.runtime.settings.SettingsReader;
@@ -19,6 +21,7 @@
 public final class StandinSettingsReader {
 
   private static final Endpoint FALLBACK = new Endpoint("127.0.0.1", 1);
+  private static final Set<String> RESERVED_NAMES = Set.of("configuration", "hosts", "weights");
   private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
   private final SettingsReader reader;
@@ -38,6 +41,7 @@
   }
 
   private StandinSettings read() {
+    rejectReservedNames();
     StandinSettings settings =
         new StandinSettings(
             endpoint("administration"),
@@ -47,11 +51,23 @@
             weightStore(),
             reader.names("engine").stream().map(this::engine).toList(),
             reader.names("service").stream().map(this::service).toList(),
+            reader.names("proxy").stream().map(this::proxy).toList(),
             Optional.of(reader.text("ledger.file", "")).filter(file -> !file.isEmpty()));
     reader.finish();
     return settings;
   }
 
+  private void rejectReservedNames() {
+    for (String table : List.of("engine", "service")) {
+      reader.names(table).stream()
+          .filter(name -> RESERVED_NAMES.contains(name) || name.contains("."))
+          .forEach(name -> reader.reject(table + "." + name, "cannot have this name"));
+    }
+    reader.names("service").stream()
+        .filter(reader.names("engine")::contains)
+        .forEach(name -> reader.reject("service." + name, "is the name of an engine"));
+  }
+
   private Endpoint endpoint(String table) {
     String path = table + ".endpoint";
     Endpoint endpoint = reader.value(path, Endpoint::parse, FALLBACK);
@@ -143,4 +159,13 @@
                 reader.duration("services.answer_time", Duration.ofMillis(5))),
             reader.flag(table + ".idempotency_keys", false)));
   }
+
+  private StandinSettings.Proxy proxy(String name) {
+    String table = "proxy." + name;
+    return new StandinSettings.Proxy(
+        name,
+        endpoint(table),
+        reader.value(table + ".target", Endpoint::parse, FALLBACK),
+        milliseconds(table + ".delay_milliseconds", 0));
+  }
 }
--- /dev/null
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/engine/EngineCoreTests.java
@@ -0,0 +1,307 @@
+package org.parsleyhead.standin.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.standin.ModeChange;
+import org.parsleyhead.standin.ServiceMode;
+
+@DisplayName("An engine")
+class EngineCoreTests {
+
+  private final FakeEngine engine = new FakeEngine(EngineSettingsFixture.settings(true, 0));
+
+  @Nested
+  @DisplayName("that batches")
+  class Batching {
+
+    @Test
+    @DisplayName("generates one token for each request in each step")
+    void generatesTokens() {
+      engine.submit(1, "base", 2, 0, 0);
+      engine.submit(2, "base", 3, 0, 0);
+      engine.runToIdle();
+      assertEquals(List.of(0, 1), engine.tokensOf(1));
+      assertEquals(List.of(0, 1, 2), engine.tokensOf(2));
+      assertEquals(1, engine.count(new EngineEffect.Finished(2, 3, false)));
+    }
+
+    @Test
+    @DisplayName("takes longer for a step with more requests and more adapters")
+    void stepsGrow() {
+      engine.load(90, "a@1", Optional.empty());
+      engine.load(91, "b@1", Optional.empty());
+      engine.submit(1, "a@1", 9, 0, 0);
+      Duration alone = engine.steadyStep();
+      engine.submit(2, "a@1", 9, 0, 0);
+      Duration sameAdapter = engine.steadyStep();
+      engine.submit(3, "b@1", 9, 0, 0);
+      Duration otherAdapter = engine.steadyStep();
+      assertEquals(Duration.ofMillis(1), sameAdapter.minus(alone));
+      assertEquals(Duration.ofMillis(3), otherAdapter.minus(sameAdapter));
+    }
+
+    @Test
+    @DisplayName("queues what exceeds the batch, lower priority values first")
+    void queues() {
+      engine.submit(1, "base", 4, 0, 0);
+      engine.submit(2, "base", 4, 0, 0);
+      engine.submit(5, "base", 4, 0, 0);
+      engine.submit(3, "base", 1, 5, 0);
+      engine.submit(4, "base", 1, 1, 0);
+      engine.runToIdle();
+      List<Long> finished = engine.finished();
+      assertTrue(finished.indexOf(4L) < finished.indexOf(3L));
+      assertTrue(finished.indexOf(2L) < finished.indexOf(4L));
+    }
+
+    @Test
+    @DisplayName("goes on behind the tokens that the caller has")
+    void resumes() {
+      engine.submit(1, "base", 5, 0, 3);
+      engine.runToIdle();
+      assertEquals(List.of(3, 4), engine.tokensOf(1));
+    }
+
+    @Test
+    @DisplayName("stops generating for a caller that closed its connection")
+    void cancels() {
+      engine.submit(1, "base", 5, 0, 0);
+      engine.step();
+      engine.apply(new EngineEvent.Closed(1));
+      engine.runToIdle();
+      assertEquals(List.of(0), engine.tokensOf(1));
+      assertEquals(1, engine.count(new EngineEffect.Cancelled(1, 1, false)));
+    }
+
+    @Test
+    @DisplayName("prefills a known prefix in less time")
+    void cachesPrefixes() {
+      String prompt = "x".repeat(640);
+      engine.submit(1, "base", 1, 0, 0, prompt);
+      final Duration first = engine.lastSchedule();
+      engine.runToIdle();
+      engine.submit(2, "base", 1, 0, 0, prompt);
+      assertTrue(engine.lastSchedule().compareTo(first) < 0);
+    }
+
+    @Test
+    @DisplayName("resets a stream in its middle if told so")
+    void resets() {
+      engine.apply(new EngineEvent.Mode(new ModeChange(ServiceMode.RESETTING, Duration.ZERO)));
+      engine.submit(1, "base", 6, 0, 0);
+      engine.runToIdle();
+      assertEquals(List.of(0, 1, 2), engine.tokensOf(1));
+      assertEquals(1, engine.count(new EngineEffect.Cancelled(1, 3, true)));
+    }
+  }
+
+  @Nested
+  @DisplayName("that is given orders")
+  class Orders {
+
+    @Test
+    @DisplayName("runs nothing for an adapter that it does not have")
+    void refusesUnknownAdapter() {
+      engine.submit(1, "a@1", 5, 0, 0);
+      engine.runToIdle();
+      assertEquals(List.of(), engine.tokensOf(1));
+      assertEquals(404, engine.lastRefusal().status());
+    }
+
+    @Test
+    @DisplayName("refuses a load while all slots are taken and evicts nothing")
+    void refusesWithoutSlot() {
+      engine.load(1, "a@1", Optional.empty());
+      engine.load(2, "b@1", Optional.empty());
+      engine.load(3, "c@1", Optional.empty());
+      assertEquals(409, engine.lastRefusal().status());
+      assertTrue(engine.state.isResident("a@1") && engine.state.isResident("b@1"));
+    }
+
+    @Test
+    @DisplayName("reports an eviction of what serves as a violation")
+    void reportsViolation() {
+      engine.load(1, "a@1", Optional.empty());
+      engine.submit(2, "a@1", 5, 0, 0);
+      engine.apply(new EngineEvent.Unload(3, "a@1", Optional.empty()));
+      assertEquals(
+          1,
+          engine.count(new EngineEffect.Violation("unload_while_serving", "a@1", Optional.of(3L))));
+    }
+
+    @Test
+    @DisplayName("refuses an old fencing number if it checks them")
+    void checksFencing() {
+      engine.load(1, "a@1", Optional.of(7L));
+      engine.apply(new EngineEvent.Unload(2, "a@1", Optional.of(6L)));
+      assertEquals("fenced", engine.lastRefusal().type());
+      assertTrue(engine.state.isResident("a@1"));
+    }
+
+    @Test
+    @DisplayName("obeys an old fencing number if it does not check them")
+    void ignoresFencing() {
+      FakeEngine careless = new FakeEngine(EngineSettingsFixture.settings(false, 0));
+      careless.load(1, "a@1", Optional.of(7L));
+      careless.apply(new EngineEvent.Unload(2, "a@1", Optional.of(6L)));
+      assertFalse(careless.state.isResident("a@1"));
+    }
+
+    @Test
+    @DisplayName("frees the slot of a load that failed")
+    void loadFails() {
+      FakeEngine failing = new FakeEngine(EngineSettingsFixture.settings(true, 1));
+      failing.load(1, "a@1", Optional.empty());
+      assertEquals("load_failed", failing.lastRefusal().type());
+      assertTrue(failing.state.adapters().isEmpty());
+    }
+
+    @Test
+    @DisplayName("has no adapters and slow steps after a restart")
+    void restartsCold() {
+      engine.load(1, "a@1", Optional.empty());
+      engine.submit(2, "a@1", 9, 0, 0);
+      final Duration warm = engine.steadyStep();
+      engine.apply(new EngineEvent.Restart());
+      assertTrue(engine.state.adapters().isEmpty());
+      assertEquals(1, engine.count(new EngineEffect.Cancelled(2, 2, true)));
+      engine.load(3, "a@1", Optional.empty());
+      engine.submit(4, "a@1", 9, 0, 0);
+      assertTrue(engine.steadyStep().compareTo(warm) > 0);
+    }
+  }
+
+  @Test
+  @DisplayName("reports its load as it was some time ago")
+  void reportsWithLag() {
+    engine.tick();
+    engine.submit(1, "base", 50, 0, 0);
+    engine.tick();
+    assertEquals(0, LoadReports.reported(engine.state).running());
+    engine.pass(Duration.ofMillis(200));
+    engine.tick();
+    assertEquals(1, LoadReports.reported(engine.state).running());
+  }
+
+  /** An engine core with a clock that is set by hand and weights that arrive at once. */
+  private static final class FakeEngine {
+
+    private final EngineCore core;
+    private EngineState state;
+    private MonotonicTime now = MonotonicTime.ORIGIN;
+    private final List<EngineEffect> effects = new ArrayList<>();
+
+    FakeEngine(EngineSettings settings) {
+      core = new EngineCore(settings);
+      state =
+          EngineState.initial(settings)
+              .withStep(Optional.empty(), PrefixCache.empty(settings.limits().prefixBlocks()), 0);
+    }
+
+    void apply(EngineEvent event) {
+      Step<EngineState, EngineEffect> step = core.apply(state, event, now);
+      state = step.state();
+      effects.addAll(step.effects());
+    }
+
+    void submit(long exchange, String model, int tokens, int priority, int from) {
+      submit(exchange, model, tokens, priority, from, "prompt " + exchange);
+    }
+
+    void submit(long exchange, String model, int tokens, int priority, int from, String prompt) {
+      List<Long> blocks = new ArrayList<>();
+      for (long block = 0; block < prompt.length() / 64; block++) {
+        blocks.add(block);
+      }
+      apply(
+          new EngineEvent.Submit(
+              exchange,
+              new CompletionRequest(
+                  model,
+                  false,
+                  prompt,
+                  TokenSequence.promptTokens(prompt),
+                  blocks,
+                  tokens,
+                  true,
+                  false,
+                  priority,
+                  from)));
+    }
+
+    void load(long exchange, String adapter, Optional<Long> fence) {
+      apply(new EngineEvent.Load(exchange, adapter, "path", fence));
+      apply(new EngineEvent.Weights(adapter, FetchOutcome.ARRIVED));
+    }
+
+    void pass(Duration duration) {
+      now = now.plus(duration);
+    }
+
+    void tick() {
+      apply(new EngineEvent.Tick());
+    }
+
+    void step() {
+      now = state.stepEnds().orElse(now);
+      apply(new EngineEvent.StepDue());
+    }
+
+    Duration steadyStep() {
+      step();
+      step();
+      return lastSchedule();
+    }
+
+    void runToIdle() {
+      while (state.stepEnds().isPresent()) {
+        step();
+      }
+    }
+
+    Duration lastSchedule() {
+      return last(EngineEffect.Schedule.class).delay();
+    }
+
+    EngineEffect.Refuse lastRefusal() {
+      return last(EngineEffect.Refuse.class);
+    }
+
+    private <T> T last(Class<T> type) {
+      List<T> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+      return assertInstanceOf(type, found.get(found.size() - 1));
+    }
+
+    List<Integer> tokensOf(long exchange) {
+      return effects.stream()
+          .filter(EngineEffect.Token.class::isInstance)
+          .map(EngineEffect.Token.class::cast)
+          .filter(token -> token.exchange() == exchange)
+          .map(EngineEffect.Token::number)
+          .toList();
+    }
+
+    List<Long> finished() {
+      return effects.stream()
+          .filter(EngineEffect.Finished.class::isInstance)
+          .map(effect -> ((EngineEffect.Finished) effect).exchange())
+          .toList();
+    }
+
+    long count(EngineEffect effect) {
+      return effects.stream().filter(effect::equals).count();
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/proxy/DirectionStateTests.java
@@ -0,0 +1,50 @@
+package org.parsleyhead.standin.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.MonotonicTime;
+
+@DisplayName("One direction of a proxy connection")
+class DirectionStateTests {
+
+  private static final MonotonicTime NOW = MonotonicTime.ORIGIN;
+
+  @Test
+  @DisplayName("passes so many bytes and resets then")
+  void resetsInMidMessage() {
+    DirectionState.Decision first = state(DirectionFault.resetAfter(10)).decide(6, NOW);
+    assertFalse(first.reset());
+    DirectionState.Decision second = first.state().decide(6, NOW);
+    assertEquals(4, second.length());
+    assertTrue(second.reset());
+  }
+
+  @Test
+  @DisplayName("drops all bytes that it swallows")
+  void swallows() {
+    assertEquals(0, state(DirectionFault.swallow()).decide(6, NOW).length());
+  }
+
+  @Test
+  @DisplayName("reads nothing while it holds")
+  void holds() {
+    assertFalse(state(DirectionFault.hold()).reads());
+  }
+
+  @Test
+  @DisplayName("keeps the order of bytes when the delay shrinks")
+  void keepsOrder() {
+    DirectionState slow = state(DirectionFault.delayed(Duration.ofMillis(50)));
+    DirectionState fast = slow.decide(1, NOW).state().under(DirectionFault.NONE);
+    assertEquals(Duration.ofMillis(40), fast.decide(1, NOW.plus(Duration.ofMillis(10))).delay());
+  }
+
+  private static DirectionState state(DirectionFault fault) {
+    return DirectionState.initial(fault, NOW);
+  }
+}
