Keep duty threads alive through every failure, and refuse settings that overflow

Cause: a duty thread ended silently when an effect threw an Error, when the supplier of ticks threw, or when something interrupted the thread; one failing effect also dropped the effects behind it. A setting of the wrong type was reported twice or replaced by the word "missing", and numbers above 2^63 and sizes above 2^63 bytes wrapped. Ruled out: ending the process on the first Error; a host that still serves resident adapters is worth more than one that is gone, and the failure is reported. Change: each effect and each tick is guarded on its own; only close() ends the thread. The settings reader refuses what does not fit.

--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/duty/Duty.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/duty/Duty.java
@@ -14,7 +14,9 @@
  *
  * <p>The state is only changed by this thread; {@link #state()} gives other threads the last one,
  * which is safe since states are immutable. A tick event is applied at a fixed interval, also under
- * load. An event whose transition fails is reported and dropped: the state stays as it was.
+ * load. An event whose transition fails is reported and dropped: the state stays as it was. An
+ * effect that fails is reported and the effects behind it are still carried out. No failure, error
+ * or interruption ends the thread; only {@link #close()} does.
  *
  * @param <S> the type of the state
  * @param <E> the type of the events
@@ -45,7 +47,7 @@
    * @param ticks creates the event that is applied at each interval
    * @param tickInterval the interval
    * @param clock gives the time of each event
-   * @param failures is told of each event whose transition or effects failed
+   * @param failures is told of each event whose transition or effects failed; must not throw
    */
   public Duty(
       Ring<E> ring,
@@ -83,11 +85,14 @@
     return ring;
   }
 
-  /** Stops the thread; events that still wait are dropped. */
+  /** Stops the thread and waits for its end; events that still wait are dropped. */
   @Override
   public void close() {
     stopping = true;
     thread.interrupt();
+    if (Thread.currentThread() == thread) {
+      return;
+    }
     try {
       thread.join(JOIN_TIMEOUT.toMillis());
     } catch (InterruptedException exception) {
@@ -98,28 +103,37 @@
   private void run() {
     MonotonicTime nextTick = clock.now().plus(tickInterval);
     while (!stopping) {
-      try {
-        Duration untilTick = nextTick.since(clock.now());
-        if (untilTick.isNegative() || untilTick.isZero()) {
-          nextTick = clock.now().plus(tickInterval);
-          apply(ticks.get());
-        } else {
-          ring.take(untilTick).ifPresent(this::apply);
-        }
-      } catch (InterruptedException exception) {
-        Thread.currentThread().interrupt();
-        return;
+      Duration untilTick = nextTick.since(clock.now());
+      if (untilTick.isNegative() || untilTick.isZero()) {
+        nextTick = clock.now().plus(tickInterval);
+        guard(() -> apply(ticks.get()));
+      } else {
+        take(untilTick);
+      }
+    }
+  }
+
+  private void take(Duration timeout) {
+    try {
+      ring.take(timeout).ifPresent(event -> guard(() -> apply(event)));
+    } catch (InterruptedException exception) {
+      if (!stopping) {
+        failures.accept(exception);
       }
     }
   }
 
   private void apply(E event) {
+    Step<S, F> step = transition.apply(state, event, clock.now());
+    state = step.state();
+    step.effects().forEach(effect -> guard(() -> effects.accept(effect)));
+  }
+
+  private void guard(Runnable action) {
     try {
-      Step<S, F> step = transition.apply(state, event, clock.now());
-      state = step.state();
-      step.effects().forEach(effects);
-    } catch (RuntimeException exception) {
-      failures.accept(exception);
+      action.run();
+    } catch (RuntimeException | Error failure) {
+      failures.accept(failure);
     }
   }
 }
--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/duty/Ring.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/duty/Ring.java
@@ -40,8 +40,8 @@
   }
 
   /** Takes the next event; empty if none came within the time. */
-  Optional<E> take(Duration patience) throws InterruptedException {
-    return Optional.ofNullable(queue.poll(patience.toNanos(), TimeUnit.NANOSECONDS));
+  Optional<E> take(Duration timeout) throws InterruptedException {
+    return Optional.ofNullable(queue.poll(timeout.toNanos(), TimeUnit.NANOSECONDS));
   }
 
   /** Returns the name. */
--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/settings/SettingsReader.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/settings/SettingsReader.java
@@ -24,6 +24,7 @@
 public final class SettingsReader {
 
   private static final Pattern QUANTITY = Pattern.compile("([0-9]+) ?([A-Za-z]+)");
+  private static final int MAXIMUM_DIGITS = 12;
   private static final Map<String, Long> DURATION_UNITS_IN_MILLISECONDS =
       Map.of("ms", 1L, "s", 1_000L, "min", 60_000L, "h", 3_600_000L);
   private static final Map<String, Long> SIZE_UNITS_IN_BYTES =
@@ -68,9 +69,12 @@
 
   /** Returns a text in the form of a core type. */
   public <T> T value(String path, Function<String, T> parser, T fallback) {
-    String text = text(path);
+    JsonNode node = find(path);
+    if (!node.isTextual()) {
+      return problem(path, "must be a string", node, fallback);
+    }
     try {
-      return parser.apply(text);
+      return parser.apply(node.textValue());
     } catch (InvalidValueException exception) {
       problems.add(path + ": " + exception.getMessage());
       return fallback;
@@ -83,7 +87,8 @@
     if (node.isMissingNode()) {
       return defaultValue;
     }
-    if (!node.isIntegralNumber() || node.longValue() < minimum || node.longValue() > maximum) {
+    boolean whole = node.isIntegralNumber() && node.canConvertToLong();
+    if (!whole || node.longValue() < minimum || node.longValue() > maximum) {
       return problem(
           path,
           "must be a whole number between " + minimum + " and " + maximum,
@@ -182,10 +187,14 @@
     }
     Matcher matcher = QUANTITY.matcher(node.isTextual() ? node.textValue() : "");
     Long unit = matcher.matches() ? units.get(matcher.group(2)) : null;
-    if (unit == null || matcher.group(1).length() > 12) {
+    if (unit == null || matcher.group(1).length() > MAXIMUM_DIGITS) {
       return problem(path, expectation, node, defaultValue);
     }
-    return converter.apply(Long.parseLong(matcher.group(1)) * unit);
+    long count = Long.parseLong(matcher.group(1));
+    if (count > Long.MAX_VALUE / unit) {
+      return problem(path, "is too large", node, defaultValue);
+    }
+    return converter.apply(count * unit);
   }
 
   private boolean isAbsent(String path) {
