--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/EventLog.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/EventLog.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
 /**
@@ -14,7 +13,7 @@
  */
 public final class EventLog {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
 
   private final String component;
 
@@ -23,27 +22,34 @@
     this.component = component;
   }
 
-  /** Sends all logs of this process to the standard error stream, one line for each event. */
+  /**
+   * Sends all logs of this process to the standard error stream, one line for each event. Called
+   * first in a program, before anything has been logged.
+   */
   public static void configureProcess() {
-    LogManager.getLogManager().reset();
+    System.setProperty(LOG_MANAGER_PROPERTY, EventLogManager.class.getName());
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
     Handler handler = new ConsoleHandler();
     handler.setFormatter(new EventLineFormatter());
-    Logger.getLogger("").addHandler(handler);
+    root.addHandler(handler);
   }
 
   /** Logs an event of ordinary operation. */
   public void info(String event, Object... keysAndValues) {
-    LOGGER.atInfo().log("%s", line(event, keysAndValues));
+    Backend.LOGGER.atInfo().log("%s", line(event, keysAndValues));
   }
 
   /** Logs an event that an operator should look at. */
   public void warning(String event, Object... keysAndValues) {
-    LOGGER.atWarning().log("%s", line(event, keysAndValues));
+    Backend.LOGGER.atWarning().log("%s", line(event, keysAndValues));
   }
 
   /** Logs a failure with its stack trace. */
   public void failure(String event, Throwable cause, Object... keysAndValues) {
-    LOGGER.atSevere().withCause(cause).log("%s", line(event, keysAndValues));
+    Backend.LOGGER.atSevere().withCause(cause).log("%s", line(event, keysAndValues));
   }
 
   /** Returns the line of an event. */
@@ -79,4 +85,12 @@
             });
     line.append('"');
   }
+
+  /** Defers the choice of the log manager until the process is configured. */
+  private static final class Backend {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private Backend() {}
+  }
 }
--- /dev/null
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of a process and their Prometheus text form. */
+package org.parsleyhead.runtime.metrics;
