--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/HostListCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/HostListCodec.java
@@ -8,7 +8,6 @@
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.HostName;
-import org.parsleyhead.core.api.InvalidValueException;
 import org.parsleyhead.core.api.RegionName;
 import org.parsleyhead.core.api.UpstreamName;
 import org.parsleyhead.core.membership.HostEntry;
@@ -33,17 +32,15 @@
    */
   public static HostList decode(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("version", "hosts", "upstreams");
-    try {
-      return new HostList(
-          fields.number("version"),
-          fields.objects("hosts").stream().map(HostListCodec::readHost).toList(),
-          fields.objects("upstreams").stream()
-              .filter(upstream -> readLeaving(upstream.allowOnly("name", "state")))
-              .map(upstream -> new UpstreamName(upstream.text("name")))
-              .collect(Collectors.toUnmodifiableSet()));
-    } catch (InvalidValueException exception) {
-      throw new CodecException(CodecException.MALFORMED, exception.getMessage(), exception);
-    }
+    return JsonFields.checked(
+        () ->
+            new HostList(
+                fields.number("version"),
+                fields.objects("hosts").stream().map(HostListCodec::readHost).toList(),
+                fields.objects("upstreams").stream()
+                    .filter(upstream -> readLeaving(upstream.allowOnly("name", "state")))
+                    .map(upstream -> new UpstreamName(upstream.text("name")))
+                    .collect(Collectors.toUnmodifiableSet())));
   }
 
   /** Writes a host list; of the upstreams only the leaving ones. */
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/ItemCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/ItemCodec.java
@@ -144,7 +144,8 @@
         fields.flag("checks_fencing"));
   }
 
-  private static ObjectNode writeItem(Item item) {
+  /** Writes the fields of an item, without its kind and name. */
+  static ObjectNode writeItem(Item item) {
     if (item instanceof ClientAccountItem account) {
       return NODES
           .objectNode()
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/JsonFields.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/JsonFields.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.parsleyhead.codec.CodecException;
+import org.parsleyhead.core.api.InvalidValueException;
 
 /**
  * Typed access to the fields of one JSON object, with errors that name the path of the field.
@@ -67,6 +69,19 @@
     return this;
   }
 
+  /**
+   * Creates a value from fields and turns an error of a core type into one of this layer.
+   *
+   * @throws CodecException if the fields have another form or the core type refuses them
+   */
+  static <T> T checked(Supplier<T> reading) {
+    try {
+      return reading.get();
+    } catch (InvalidValueException exception) {
+      throw new CodecException(CodecException.MALFORMED, exception.getMessage(), exception);
+    }
+  }
+
   /** Tells whether a field is present and not null. */
   public boolean has(String name) {
     return node.hasNonNull(name);
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/TicketCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/TicketCodec.java
@@ -36,7 +36,8 @@
    */
   public static TicketHead decodeHead(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "parts", "changes");
-    return new TicketHead(numberOf(fields), fields.smallNumber("parts"), readChanges(fields));
+    return JsonFields.checked(
+        () -> new TicketHead(numberOf(fields), fields.smallNumber("parts"), readChanges(fields)));
   }
 
   /**
@@ -46,7 +47,8 @@
    */
   public static TicketPart decodePart(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "part", "changes");
-    return new TicketPart(numberOf(fields), fields.smallNumber("part"), readChanges(fields));
+    return JsonFields.checked(
+        () -> new TicketPart(numberOf(fields), fields.smallNumber("part"), readChanges(fields)));
   }
 
   /** Writes the value of {@code tickets/latest}. */
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/PeerMessageCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/PeerMessageCodec.java
@@ -7,12 +7,10 @@
 import java.util.stream.Collectors;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.Incarnation;
-import org.parsleyhead.core.api.InvalidValueException;
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.api.Sender;
 
@@ -74,11 +72,9 @@
     }
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       return unpack(unpacker);
-    } catch (IOException
-        | MessagePackException
-        | InvalidValueException
-        | IllegalArgumentException
-        | NegativeArraySizeException exception) {
+    } catch (CodecException exception) {
+      throw exception;
+    } catch (IOException | RuntimeException exception) {
       throw new CodecException(CodecException.MALFORMED, "malformed peer message", exception);
     }
   }
