Attestations between hosts, failure detector and their messages

Cause: exclusive rights (rate shares, engine ownership) need to pass from a dropped host to another one without a vote and without two users at a time. Ruled out: claims that rest on liveness opinions, since a host that is only cut off looks dead. Conclusion: a former run of a process may go on using its rights, but must no longer be reachable for requests.

--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Membership.java
@@ -0,0 +1,130 @@
+package org.parsleyhead.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedSet;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.api.Transition;
+
+/**
+ * The membership decisions of one host: which exclusive rights it may use and which hosts it
+ * believes alive.
+ *
+ * <p>Stateless apart from its settings and thread-safe. At no instant is a host attested by another
+ * one that may claim from it, whatever is lost, delayed, doubled, paused or restarted.
+ */
+public final class Membership
+    implements Transition<MembershipState, MembershipEvent, MembershipEffect> {
+
+  private final MembershipSettings settings;
+  private final Attestations attestations;
+  private final FailureDetector detector;
+
+  /** Creates the decisions for one process. */
+  public Membership(MembershipSettings settings) {
+    this(settings, lastAttested -> lastAttested.plus(settings.bindingDuration()));
+  }
+
+  Membership(MembershipSettings settings, ClaimRule claimRule) {
+    this.settings = settings;
+    this.attestations = new Attestations(settings, claimRule);
+    this.detector = new FailureDetector(settings);
+  }
+
+  @Override
+  public Step<MembershipState, MembershipEffect> apply(
+      MembershipState state, MembershipEvent event, MonotonicTime time) {
+    List<MembershipEffect> effects = new ArrayList<>();
+    MembershipState changed = take(state, event, time, effects).withCurrentStanding();
+    if (changed.sequence() != state.sequence()) {
+      effects.add(0, new MembershipEffect.StandingChanged(changed.sequence(), changed.standing()));
+    }
+    return new Step<>(changed, effects);
+  }
+
+  private MembershipState take(
+      MembershipState state,
+      MembershipEvent event,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    if (event instanceof MembershipEvent.Tick tick) {
+      return tick(state, tick.randomNumber(), time, effects);
+    }
+    if (event instanceof MembershipEvent.HostListRead read) {
+      return readList(state, read.list());
+    }
+    if (event instanceof MembershipEvent.MessageReceived received) {
+      return receive(state, received, time, effects);
+    }
+    MembershipEvent.StandingApplied applied = (MembershipEvent.StandingApplied) event;
+    return state.withRights(attestations.applied(state.rights(), applied.sequence()));
+  }
+
+  private MembershipState tick(
+      MembershipState state,
+      long randomNumber,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    RightsState rights = attestations.expire(state.rights(), time);
+    rights =
+        attestations.request(
+            rights, state.hostList(), state.members(), randomNumber, time, effects);
+    Step<LivenessState, MembershipEffect> probed =
+        detector.tick(state.livenessState(), state.others(), randomNumber, time);
+    effects.addAll(probed.effects());
+    return state.withRights(rights).withLiveness(probed.state());
+  }
+
+  private MembershipState readList(MembershipState state, HostList list) {
+    if (list.version() <= state.hostList().version()) {
+      return state;
+    }
+    SortedSet<HostName> after = MembershipState.membersOf(settings, list);
+    RightsState rights =
+        attestations.changeMembers(state.rights(), state.members(), after, state.sequence() + 1);
+    return state.withList(list).withRights(rights);
+  }
+
+  private MembershipState receive(
+      MembershipState state,
+      MembershipEvent.MessageReceived received,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    HostName from = received.sender().host();
+    if (from.equals(settings.self()) || state.hostList().find(from).isEmpty()) {
+      return state;
+    }
+    Step<LivenessState, MembershipEffect> heard =
+        detector.receive(
+            state.livenessState(), state.hostList().hosts().size(), from, received.message(), time);
+    effects.addAll(heard.effects());
+    MembershipState current = state.withLiveness(heard.state());
+    if (received.message() instanceof AttestationRequest request) {
+      return answer(current, received.sender(), request, time, effects);
+    }
+    if (received.message() instanceof Attestation attestation) {
+      return current.withRights(
+          attestations.count(current.rights(), received.sender(), attestation, time));
+    }
+    return current;
+  }
+
+  private MembershipState answer(
+      MembershipState state,
+      Sender sender,
+      AttestationRequest request,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    Optional<Attestation> answer =
+        attestations.answer(state.rights(), state.members(), sender, request, time);
+    if (answer.isEmpty()) {
+      return state;
+    }
+    effects.add(new MembershipEffect.Send(sender.host(), answer.get()));
+    return state.withRights(attestations.note(state.rights(), sender, time));
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/ProbeAnswer.java
@@ -0,0 +1,20 @@
+package org.parsleyhead.core.membership;
+
+import java.util.List;
+import org.parsleyhead.core.api.PeerMessage;
+
+/**
+ * Answers a probe, or reports that a relayed probe was answered.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param nonce the number of the probe that is answered
+ * @param updates opinions on hosts, at most {@value FailureDetector#MAXIMUM_UPDATES}
+ */
+public record ProbeAnswer(long nonce, List<LivenessUpdate> updates) implements PeerMessage {
+
+  /** Copies and bounds the opinions. */
+  public ProbeAnswer {
+    updates = FailureDetector.boundedCopy(updates);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FakeMembershipFleet.java
@@ -0,0 +1,312 @@
+package org.parsleyhead.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.RegionName;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.Step;
+
+/**
+ * A fleet of membership cores on a fake clock, with a random schedule of loss, delay, duplication,
+ * pause, restart, partition and list lag. One thread uses it.
+ */
+final class FakeMembershipFleet {
+
+  private static final double MAXIMUM_DRIFT = 0.008;
+  private static final long MILLISECOND = 1_000_000;
+
+  private final Random random;
+  private final ClaimRule claimRule;
+  private final int size;
+  private final PriorityQueue<Scheduled> schedule =
+      new PriorityQueue<>(Comparator.comparingLong(Scheduled::at).thenComparing(Scheduled::order));
+  private final List<Process> processes = new ArrayList<>();
+  private final Map<HostName, Process> current = new HashMap<>();
+  private final Set<HostName> cutOff = new HashSet<>();
+  private final List<HostName> listed = new ArrayList<>();
+  private long now;
+  private long order;
+  private long version;
+  private int attestedChecks;
+  private int claimChecks;
+
+  FakeMembershipFleet(long seed, int size, ClaimRule claimRule) {
+    this.random = new Random(seed);
+    this.size = size;
+    this.claimRule = claimRule;
+    for (int index = 0; index < size; index++) {
+      listed.add(name(index));
+    }
+    for (int index = 0; index < size; index++) {
+      start(name(index));
+    }
+    publish();
+  }
+
+  static HostName name(int index) {
+    return new HostName("host-" + index);
+  }
+
+  static HostList listOf(long version, List<HostName> hosts) {
+    List<HostEntry> entries =
+        hosts.stream()
+            .map(
+                host ->
+                    new HostEntry(
+                        host,
+                        new Endpoint("127.0.0.1", 1),
+                        new RegionName("region"),
+                        new FailureDomainName("domain"),
+                        "cell",
+                        false))
+            .toList();
+    return new HostList(version, entries, Set.of());
+  }
+
+  /** Runs the fleet; returns the first overlap of rights, if there is one. */
+  Optional<String> run(Duration duration, double faultsPerSecond) {
+    long end = now + duration.toNanos();
+    long nextFault = now;
+    while (now < end) {
+      Scheduled next = schedule.poll();
+      now = Math.max(now, next.at());
+      Optional<String> before = findOverlap();
+      if (before.isPresent()) {
+        return before;
+      }
+      next.action().run();
+      Optional<String> after = findOverlap();
+      if (after.isPresent()) {
+        return after;
+      }
+      if (now >= nextFault && faultsPerSecond > 0) {
+        nextFault = now + (long) (random.nextDouble() * 2e9 / faultsPerSecond);
+        fault();
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns how often a host was found attested and how often a claim was found open. */
+  List<Integer> coverage() {
+    return List.of(attestedChecks, claimChecks);
+  }
+
+  Process process(HostName host) {
+    return current.get(host);
+  }
+
+  void drop(HostName host) {
+    listed.remove(host);
+    publish();
+  }
+
+  void relist(HostName host) {
+    if (!listed.contains(host)) {
+      listed.add(host);
+    }
+    publish();
+  }
+
+  private void fault() {
+    HostName host = name(random.nextInt(size));
+    switch (random.nextInt(6)) {
+      case 0 -> current.get(host).pausedUntil = now + milliseconds(25_000);
+      case 1 -> restart(host);
+      case 2 -> drop(host);
+      case 3 -> relist(host);
+      case 4 -> cutOff.add(host);
+      default -> cutOff.remove(host);
+    }
+  }
+
+  private void restart(HostName host) {
+    Process former = current.get(host);
+    former.endsAt = now + (random.nextBoolean() ? 0 : milliseconds(20_000));
+    start(host);
+  }
+
+  private void start(HostName host) {
+    Process process = new Process(host);
+    processes.add(process);
+    current.put(host, process);
+    if (version > 0) {
+      readList(process, listOf(version, listed));
+    }
+    scheduleTick(process);
+  }
+
+  private void publish() {
+    version++;
+    HostList list = listOf(version, listed);
+    processes.forEach(process -> readList(process, list));
+  }
+
+  private void readList(Process process, HostList list) {
+    long lag = random.nextInt(4) == 0 ? milliseconds(30_000) : milliseconds(500);
+    at(now + lag, () -> process.apply(new MembershipEvent.HostListRead(list)));
+  }
+
+  private void scheduleTick(Process process) {
+    at(
+        now + milliseconds(400),
+        () -> {
+          if (now < process.endsAt) {
+            process.apply(new MembershipEvent.Tick(random.nextLong()));
+            scheduleTick(process);
+          }
+        });
+  }
+
+  private void send(Process from, MembershipEffect.Send send) {
+    int copies = random.nextInt(10) == 0 ? 0 : random.nextInt(10) == 0 ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      long delay = random.nextInt(20) == 0 ? milliseconds(15_000) : milliseconds(40);
+      var event =
+          new MembershipEvent.MessageReceived(
+              new Sender(from.name, from.incarnation), send.message());
+      at(
+          now + delay,
+          () -> {
+            if (!cutOff.contains(from.name) && !cutOff.contains(send.host())) {
+              receiver(send.host(), send.message()).apply(event);
+            }
+          });
+    }
+  }
+
+  /** A former run still gets the answers to its own requests, but no requests of others. */
+  private Process receiver(HostName host, PeerMessage message) {
+    return processes.stream()
+        .filter(process -> process.name.equals(host) && now < process.endsAt)
+        .filter(
+            process ->
+                message instanceof Attestation attestation
+                    && attestation.incarnation().equals(process.incarnation))
+        .findFirst()
+        .orElse(current.get(host));
+  }
+
+  private Optional<String> findOverlap() {
+    processes.removeIf(process -> now >= process.endsAt);
+    for (Process owner : processes) {
+      MonotonicTime ownerTime = owner.clock();
+      for (Process other : processes) {
+        if (owner.name.equals(other.name) || !owner.applied.isAttestedBy(other.name, ownerTime)) {
+          continue;
+        }
+        attestedChecks++;
+        if (current.get(other.name) == other
+            && other.applied.mayClaimFrom(owner.name, other.clock())) {
+          return Optional.of(owner.name + " uses what " + other.name + " claims at " + now);
+        }
+      }
+      if (owner.attestedTwin().isPresent()) {
+        return Optional.of("two runs of " + owner.name + " are attested at " + now);
+      }
+      claimChecks += owner.applied.claimableFrom().size();
+    }
+    return Optional.empty();
+  }
+
+  private void at(long time, Runnable action) {
+    schedule.add(new Scheduled(time, order++, action));
+  }
+
+  private long milliseconds(int bound) {
+    return random.nextInt(bound) * MILLISECOND;
+  }
+
+  private record Scheduled(long at, long order, Runnable action) {}
+
+  /** One run of one host's process with its own clock. */
+  final class Process {
+    private final HostName name;
+    private final Incarnation incarnation = new Incarnation(random.nextLong() >>> 1);
+    private final long offset = random.nextLong() >> 8;
+    private final double rate = 1 + (random.nextDouble() * 2 - 1) * MAXIMUM_DRIFT;
+    private final Membership membership;
+    private MembershipState state;
+    private Standing applied;
+    private long appliedSequence;
+    private long pausedUntil;
+    private long endsAt = Long.MAX_VALUE;
+
+    Process(HostName name) {
+      this.name = name;
+      MembershipSettings settings = MembershipSettings.of(name, incarnation);
+      this.membership = new Membership(settings, claimRule);
+      this.state = MembershipState.initial(settings, clock());
+      this.applied = state.standing();
+    }
+
+    MembershipState state() {
+      return state;
+    }
+
+    MonotonicTime clock() {
+      return new MonotonicTime(offset + (long) (now * rate));
+    }
+
+    void apply(MembershipEvent event) {
+      if (now >= endsAt) {
+        return;
+      }
+      if (now < pausedUntil) {
+        at(pausedUntil, () -> apply(event));
+        return;
+      }
+      Step<MembershipState, MembershipEffect> step = membership.apply(state, event, clock());
+      state = step.state();
+      step.effects().forEach(this::carryOut);
+    }
+
+    private void carryOut(MembershipEffect effect) {
+      if (effect instanceof MembershipEffect.Send send) {
+        send(this, send);
+      } else if (effect instanceof MembershipEffect.StandingChanged changed) {
+        at(now + milliseconds(300), () -> use(changed));
+      }
+    }
+
+    private void use(MembershipEffect.StandingChanged changed) {
+      if (now < pausedUntil) {
+        at(pausedUntil, () -> use(changed));
+        return;
+      }
+      if (changed.sequence() > appliedSequence) {
+        appliedSequence = changed.sequence();
+        applied = changed.standing();
+      }
+      apply(new MembershipEvent.StandingApplied(appliedSequence));
+    }
+
+    private Optional<Process> attestedTwin() {
+      return processes.stream()
+          .filter(twin -> twin != this && twin.name.equals(name))
+          .filter(
+              twin ->
+                  applied.attestedUntil().keySet().stream()
+                      .anyMatch(
+                          other ->
+                              applied.isAttestedBy(other, clock())
+                                  && twin.applied.isAttestedBy(other, twin.clock())))
+          .findFirst();
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipFleetTests.java
@@ -0,0 +1,82 @@
+package org.parsleyhead.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+
+@DisplayName("A fleet of membership cores")
+class MembershipFleetTests {
+
+  private static final int SCHEDULES = 250;
+  private static final int MANY_SCHEDULES = 4_000;
+  private static final int SIZE = 4;
+  private static final Duration DURATION = Duration.ofSeconds(60);
+  private static final double FAULTS_PER_SECOND = 0.5;
+  private static final ClaimRule RULE =
+      lastAttested ->
+          lastAttested.plus(
+              MembershipSettings.of(new HostName("any"), new Incarnation(0)).bindingDuration());
+  private static final ClaimRule NO_WAIT = lastAttested -> lastAttested;
+
+  private static Optional<String> run(long seed, ClaimRule rule) {
+    return new FakeMembershipFleet(seed, SIZE, rule)
+        .run(DURATION, FAULTS_PER_SECOND)
+        .map(overlap -> "seed " + seed + ": " + overlap);
+  }
+
+  @Test
+  @DisplayName("never lets two hosts use one right at a time, whatever fails")
+  void keepsRightsExclusive() {
+    checkSchedules(1, SCHEDULES);
+  }
+
+  @Test
+  @Tag("long-running")
+  @DisplayName("never lets two hosts use one right at a time in thousands of schedules")
+  void keepsRightsExclusiveInManySchedules() {
+    checkSchedules(SCHEDULES + 1, MANY_SCHEDULES);
+  }
+
+  private static void checkSchedules(long firstSeed, long lastSeed) {
+    for (long seed = firstSeed; seed <= lastSeed; seed++) {
+      assertEquals(Optional.empty(), run(seed, RULE));
+    }
+  }
+
+  @Test
+  @DisplayName("breaks that promise without the wait")
+  void breaksWithoutWait() {
+    assertTrue(LongStream.rangeClosed(1, 100).anyMatch(seed -> run(seed, NO_WAIT).isPresent()));
+  }
+
+  @Test
+  @DisplayName("has attested and claimed rights in the schedules that are checked")
+  void coversBothSides() {
+    FakeMembershipFleet fleet = new FakeMembershipFleet(1, SIZE, RULE);
+    fleet.run(DURATION, FAULTS_PER_SECOND);
+    assertTrue(fleet.coverage().stream().allMatch(count -> count > 0), fleet.coverage().toString());
+  }
+
+  @Test
+  @DisplayName("attests completely when nothing fails, and lets a dropped host's rights be claimed")
+  void settles() {
+    FakeMembershipFleet fleet = new FakeMembershipFleet(3, SIZE, RULE);
+    fleet.run(Duration.ofSeconds(60), 0);
+    HostName first = FakeMembershipFleet.name(0);
+    HostName last = FakeMembershipFleet.name(SIZE - 1);
+    FakeMembershipFleet.Process process = fleet.process(first);
+    assertTrue(process.state().standing().isAttestedByAll(process.clock()));
+    fleet.drop(last);
+    fleet.run(Duration.ofSeconds(60), 0);
+    assertTrue(process.state().standing().mayClaimFrom(last, process.clock()));
+    assertEquals(SIZE, process.state().aliveHosts().size() + 1);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
@@ -0,0 +1,154 @@
+package org.parsleyhead.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.Step;
+
+@DisplayName("Membership")
+class MembershipTests {
+
+  private static final HostName SELF = FakeMembershipFleet.name(0);
+  private static final HostName OTHER = FakeMembershipFleet.name(1);
+  private static final Incarnation RUN = new Incarnation(7);
+  private static final MembershipSettings SETTINGS = MembershipSettings.of(SELF, RUN);
+  private static final Duration BINDING = SETTINGS.bindingDuration();
+  private static final MonotonicTime START = MonotonicTime.ORIGIN;
+  private static final MonotonicTime LATER = START.plus(BINDING);
+
+  private final Membership membership = new Membership(SETTINGS);
+  private MembershipState state = MembershipState.initial(SETTINGS, START);
+
+  private List<MembershipEffect> apply(MembershipEvent event, MonotonicTime time) {
+    Step<MembershipState, MembershipEffect> step = membership.apply(state, event, time);
+    state = step.state();
+    return step.effects();
+  }
+
+  private void read(long version, HostName... hosts) {
+    apply(
+        new MembershipEvent.HostListRead(FakeMembershipFleet.listOf(version, List.of(hosts))),
+        START);
+  }
+
+  private Optional<Attestation> request(long incarnation, MonotonicTime time) {
+    Sender sender = new Sender(OTHER, new Incarnation(incarnation));
+    return apply(new MembershipEvent.MessageReceived(sender, new AttestationRequest(5, 1)), time)
+        .stream()
+        .filter(MembershipEffect.Send.class::isInstance)
+        .map(effect -> (Attestation) ((MembershipEffect.Send) effect).message())
+        .findFirst();
+  }
+
+  @Nested
+  @DisplayName("attests")
+  class Attests {
+
+    @Test
+    @DisplayName("to nobody before its former run's attestations have ended")
+    void waitsAfterStart() {
+      read(1, SELF, OTHER);
+      assertTrue(request(1, LATER.minus(Duration.ofNanos(1))).isEmpty());
+      assertTrue(request(1, LATER).isPresent());
+    }
+
+    @Test
+    @DisplayName("to a new run only after the attestation to the old one has ended")
+    void waitsForOldIncarnation() {
+      read(1, SELF, OTHER);
+      assertTrue(request(1, LATER).isPresent());
+      assertTrue(request(2, LATER.plus(Duration.ofSeconds(5))).isEmpty());
+      assertTrue(request(1, LATER.plus(Duration.ofSeconds(6))).isPresent());
+      assertTrue(request(2, LATER.plus(Duration.ofSeconds(6)).plus(BINDING)).isPresent());
+    }
+
+    @Test
+    @DisplayName("to no host that its list lacks")
+    void refusesUnlisted() {
+      read(1, SELF);
+      assertTrue(request(1, LATER).isEmpty());
+    }
+
+    @Test
+    @DisplayName("to a host that came back only when its claims are no longer used")
+    void releasesBeforeAttesting() {
+      read(1, SELF, OTHER);
+      read(2, SELF);
+      assertTrue(state.standing().mayClaimFrom(OTHER, LATER));
+      read(3, SELF, OTHER);
+      assertFalse(state.standing().mayClaimFrom(OTHER, LATER));
+      assertTrue(request(1, LATER).isEmpty());
+      apply(new MembershipEvent.StandingApplied(state.sequence()), LATER);
+      assertEquals(3, request(1, LATER).orElseThrow().listVersion());
+    }
+  }
+
+  @Nested
+  @DisplayName("counts an attestation")
+  class Counts {
+
+    private long requestNonce(MonotonicTime time) {
+      return apply(new MembershipEvent.Tick(99), time).stream()
+          .filter(MembershipEffect.Send.class::isInstance)
+          .map(effect -> ((MembershipEffect.Send) effect).message())
+          .filter(AttestationRequest.class::isInstance)
+          .map(message -> ((AttestationRequest) message).nonce())
+          .findFirst()
+          .orElseThrow();
+    }
+
+    private void answer(long nonce, Incarnation run, MonotonicTime time) {
+      Sender sender = new Sender(OTHER, new Incarnation(1));
+      Attestation attestation = new Attestation(nonce, run, 1, Duration.ofSeconds(10));
+      apply(new MembershipEvent.MessageReceived(sender, attestation), time);
+    }
+
+    @Test
+    @DisplayName("from when it was requested, less the drift margin")
+    void countsFromRequest() {
+      read(1, SELF, OTHER);
+      answer(requestNonce(START), RUN, START.plus(Duration.ofSeconds(3)));
+      MonotonicTime end = START.plus(Duration.ofMillis(9_800));
+      assertTrue(state.standing().isAttestedBy(OTHER, end.minus(Duration.ofNanos(1))));
+      assertFalse(state.standing().isAttestedBy(OTHER, end));
+    }
+
+    @Test
+    @DisplayName("only with its own nonce and for its own run")
+    void refusesOthers() {
+      read(1, SELF, OTHER);
+      long nonce = requestNonce(START);
+      answer(nonce + 1, RUN, START);
+      answer(nonce, new Incarnation(8), START);
+      assertFalse(state.standing().isAttestedBy(OTHER, START));
+    }
+
+    @Test
+    @DisplayName("not at all when it wakes up after its end")
+    void ignoresLateWakeUp() {
+      read(1, SELF, OTHER);
+      answer(requestNonce(START), RUN, START.plus(Duration.ofSeconds(60)));
+      assertTrue(state.standing().attestedUntil().isEmpty());
+    }
+  }
+
+  @Test
+  @DisplayName("ignores a host list that is not newer than the known one")
+  void ignoresOldLists() {
+    read(2, SELF, OTHER);
+    read(1, SELF);
+    assertEquals(2, state.hostList().version());
+    assertTrue(state.standing().claimableFrom().isEmpty());
+  }
+}
