--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/TicketMessages.java
@@ -0,0 +1,139 @@
+package org.parsleyhead.codec.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.ConfigurationSummary;
+import org.parsleyhead.core.ticket.DigestComparison;
+import org.parsleyhead.core.ticket.HeardItem;
+import org.parsleyhead.core.ticket.ItemTransfer;
+import org.parsleyhead.core.ticket.TicketFragment;
+import org.parsleyhead.core.ticket.VersionedItem;
+
+/**
+ * The encodings of the messages that carry configuration, codes 30 to 59.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class TicketMessages {
+
+  /** All messages that carry configuration. */
+  public static final List<MessageType<?>> TYPES =
+      List.of(
+          new MessageType<>(
+              30,
+              TicketFragment.class,
+              TicketMessages::writeFragment,
+              TicketMessages::readFragment),
+          new MessageType<>(
+              31,
+              ConfigurationSummary.class,
+              TicketMessages::writeSummary,
+              TicketMessages::readSummary),
+          new MessageType<>(
+              32,
+              DigestComparison.class,
+              TicketMessages::writeComparison,
+              TicketMessages::readComparison),
+          new MessageType<>(
+              33, ItemTransfer.class, TicketMessages::writeTransfer, TicketMessages::readTransfer));
+
+  private TicketMessages() {}
+
+  private static void writeFragment(TicketFragment fragment, MessagePacker packer)
+      throws IOException {
+    packer
+        .packLong(fragment.number().value())
+        .packInt(fragment.part())
+        .packInt(fragment.parts())
+        .packArrayHeader(fragment.changes().size());
+    for (Change change : fragment.changes()) {
+      ItemEncoding.write(change.key(), change.item(), packer);
+    }
+  }
+
+  private static TicketFragment readFragment(MessageUnpacker unpacker) throws IOException {
+    TicketNumber number = new TicketNumber(unpacker.unpackLong());
+    int part = unpacker.unpackInt();
+    int parts = unpacker.unpackInt();
+    List<Change> changes = new ArrayList<>();
+    int size = unpacker.unpackArrayHeader();
+    for (int index = 0; index < size; index++) {
+      changes.add(ItemEncoding.read(unpacker));
+    }
+    return new TicketFragment(number, part, parts, changes);
+  }
+
+  private static void writeSummary(ConfigurationSummary summary, MessagePacker packer)
+      throws IOException {
+    packer
+        .packLong(summary.mergedThrough())
+        .packLong(summary.highest())
+        .packLong(summary.digest())
+        .packLong(summary.contactAge().toMillis())
+        .packBoolean(summary.ready())
+        .packBoolean(summary.answerWanted());
+  }
+
+  private static ConfigurationSummary readSummary(MessageUnpacker unpacker) throws IOException {
+    return new ConfigurationSummary(
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        Duration.ofMillis(unpacker.unpackLong()),
+        unpacker.unpackBoolean(),
+        unpacker.unpackBoolean());
+  }
+
+  private static void writeComparison(DigestComparison comparison, MessagePacker packer)
+      throws IOException {
+    packer.packBoolean(comparison.answerWanted()).packArrayHeader(comparison.sums().size());
+    for (long sum : comparison.sums()) {
+      packer.packLong(sum);
+    }
+  }
+
+  private static DigestComparison readComparison(MessageUnpacker unpacker) throws IOException {
+    boolean answerWanted = unpacker.unpackBoolean();
+    List<Long> sums = new ArrayList<>();
+    int size = unpacker.unpackArrayHeader();
+    for (int index = 0; index < size; index++) {
+      sums.add(unpacker.unpackLong());
+    }
+    return new DigestComparison(sums, answerWanted);
+  }
+
+  private static void writeTransfer(ItemTransfer transfer, MessagePacker packer)
+      throws IOException {
+    packer
+        .packLong(transfer.identifier())
+        .packInt(transfer.part())
+        .packInt(transfer.parts())
+        .packLong(transfer.mergedThrough())
+        .packArrayHeader(transfer.items().size());
+    for (HeardItem item : transfer.items()) {
+      packer.packLong(item.versioned().number().value());
+      ItemEncoding.write(item.key(), item.versioned().item(), packer);
+    }
+  }
+
+  private static ItemTransfer readTransfer(MessageUnpacker unpacker) throws IOException {
+    long identifier = unpacker.unpackLong();
+    int part = unpacker.unpackInt();
+    int parts = unpacker.unpackInt();
+    long mergedThrough = unpacker.unpackLong();
+    List<HeardItem> items = new ArrayList<>();
+    int size = unpacker.unpackArrayHeader();
+    for (int index = 0; index < size; index++) {
+      TicketNumber number = new TicketNumber(unpacker.unpackLong());
+      Change change = ItemEncoding.read(unpacker);
+      items.add(new HeardItem(change.key(), new VersionedItem(number, change.item())));
+    }
+    return new ItemTransfer(identifier, part, parts, mergedThrough, items);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerState.java
@@ -0,0 +1,74 @@
+package org.parsleyhead.core.ticket;
+
+import java.util.List;
+import java.util.Set;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.membership.HostEntry;
+import org.parsleyhead.core.membership.HostList;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * What one host knows of the other hosts' catalogues, and which exchanges are under way.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param list the host list
+ * @param alive the hosts that count as alive
+ * @param nextComparison when the next comparison is due
+ * @param nextTransfer when the next transfer of items may be asked for
+ * @param transfers the parts of transfers that came, by sender
+ * @param readyPeerHeard whether a host that serves callers told how far its catalogue reaches
+ * @param target the highest number up to which another host has merged all tickets
+ */
+record PeerState(
+    HostList list,
+    Set<HostName> alive,
+    MonotonicTime nextComparison,
+    MonotonicTime nextTransfer,
+    PMap<HostName, PMap<Integer, ItemTransfer>> transfers,
+    boolean readyPeerHeard,
+    long target) {
+
+  static PeerState initial(MonotonicTime time) {
+    return new PeerState(HostList.EMPTY, Set.of(), time, time, HashTreePMap.empty(), false, 0);
+  }
+
+  PeerState withHosts(HostList newList, Set<HostName> newAlive) {
+    HostList newest = newList.version() >= list.version() ? newList : list;
+    return new PeerState(
+        newest, newAlive, nextComparison, nextTransfer, transfers, readyPeerHeard, target);
+  }
+
+  PeerState withNextComparison(MonotonicTime next) {
+    return new PeerState(list, alive, next, nextTransfer, transfers, readyPeerHeard, target);
+  }
+
+  PeerState withNextTransfer(MonotonicTime next) {
+    return new PeerState(list, alive, nextComparison, next, transfers, readyPeerHeard, target);
+  }
+
+  PeerState withTransfers(PMap<HostName, PMap<Integer, ItemTransfer>> parts) {
+    return new PeerState(list, alive, nextComparison, nextTransfer, parts, readyPeerHeard, target);
+  }
+
+  PeerState heard(boolean ready, long mergedThrough) {
+    return new PeerState(
+        list,
+        alive,
+        nextComparison,
+        nextTransfer,
+        transfers,
+        readyPeerHeard || ready,
+        Math.max(target, mergedThrough));
+  }
+
+  /** Returns the other hosts that count as alive; all others if none does. */
+  List<HostName> others(HostName self) {
+    List<HostName> listed =
+        list.hosts().stream().map(HostEntry::name).filter(host -> !host.equals(self)).toList();
+    List<HostName> living = listed.stream().filter(alive::contains).toList();
+    return living.isEmpty() ? listed : living;
+  }
+}
