--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/json/JsonCodecTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/json/JsonCodecTests.java
@@ -24,7 +24,9 @@
 import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.membership.HostList;
+import org.parsleyhead.core.ticket.HeardItem;
 import org.parsleyhead.core.ticket.Ticket;
+import org.parsleyhead.core.ticket.VersionedItem;
 
 @Label("The JSON form of published documents")
 class JsonCodecTests {
@@ -166,7 +168,10 @@
         ticket.number(),
         1,
         ticket.changes().stream()
-            .map(change -> new SnapshotItem(new TicketNumber(5), change))
+            .map(
+                change ->
+                    new HeardItem(
+                        change.key(), new VersionedItem(new TicketNumber(5), change.item())))
             .toList());
   }
 
