Load tool with checked answers and a comparison with upstream ledgers

Cause: the promises about whole answers, at-most-once and wrongful refusals need a verdict that does not come from the system itself. Change: parsleyhead-load sends an open-loop schedule that follows from seed and run name, checks each token of each answer, keeps HdrHistogram figures from the scheduled times, reports refusals by code, fill over burst and wrongful refusals for each account, writes outcomes, a JSON report and an SVG plot, and compares outcomes with ledgers. Stand-ins start in-process through StandinProcess. Ruled out: matching by request identity alone, since an entry host may replace it; contents are unique and matched by digest.

--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadMain.java
@@ -0,0 +1,168 @@
+package org.parsleyhead.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.cli.ParseException;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.parsleyhead.core.api.ParsleyheadException;
+import org.parsleyhead.load.compare.LedgerComparison;
+import org.parsleyhead.load.result.OutcomeCodec;
+import org.parsleyhead.load.result.ReportLine;
+import org.parsleyhead.load.result.RunReport;
+import org.parsleyhead.load.result.RunTotals;
+import org.parsleyhead.load.result.TimePlot;
+import org.parsleyhead.load.settings.LoadSettings;
+import org.parsleyhead.load.settings.LoadSettingsReader;
+import org.parsleyhead.runtime.log.EventLog;
+import org.parsleyhead.runtime.settings.SettingsException;
+import org.parsleyhead.standin.ledger.LedgerCodec;
+
+/** The program that sends load on a fixed schedule and checks every answer. */
+public final class LoadMain {
+
+  static final int EXIT_FINE = 0;
+  static final int EXIT_FAILED = 1;
+  static final int EXIT_USAGE = 2;
+
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final int FINDING_LINES = 20;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
+
+  private LoadMain() {}
+
+  /** Runs the program. */
+  public static void main(String[] arguments) {
+    EventLog.configureProcess();
+    System.exit(run(arguments, System.out, System.err));
+  }
+
+  /** Runs the command and returns its exit code. */
+  static int run(String[] arguments, PrintStream output, PrintStream errors) {
+    try {
+      return run(LoadOptions.parse(arguments), output, errors);
+    } catch (ParseException exception) {
+      errors.println("error=usage message=\"" + exception.getMessage() + "\"; see --help");
+      return EXIT_USAGE;
+    } catch (SettingsException exception) {
+      exception.problems().forEach(problem -> errors.println("error=settings " + problem));
+      return EXIT_USAGE;
+    } catch (ParsleyheadException exception) {
+      errors.println("error=" + exception.code() + " message=\"" + exception.getMessage() + "\"");
+      return EXIT_USAGE;
+    }
+  }
+
+  private static int run(LoadOptions options, PrintStream output, PrintStream errors) {
+    if (options.has("help")) {
+      output.print(LoadOptions.HELP);
+      return EXIT_FINE;
+    }
+    if (options.has("version")) {
+      output.println("parsleyhead-load " + version());
+      return EXIT_FINE;
+    }
+    if (!options.has("settings")) {
+      errors.println("error=usage message=\"--settings FILE is missing\"; see --help");
+      return EXIT_USAGE;
+    }
+    LoadSettings settings =
+        LoadSettingsReader.read(ResultFiles.text(options.file("settings").orElseThrow()));
+    if (options.has("check-settings")) {
+      output.println("settings=fine");
+      return EXIT_FINE;
+    }
+    return options.ledgers().isEmpty()
+        ? send(settings, options, output)
+        : compare(settings, options, output, errors);
+  }
+
+  private static int send(LoadSettings settings, LoadOptions options, PrintStream output) {
+    EventLog log = new EventLog("load");
+    try (AsyncHttpClient http = client(settings);
+        OutcomeFile file = new OutcomeFile(options.file("outcomes"))) {
+      LoadRun run = new LoadRun(settings, http, file, log);
+      Duration duration = run.run(options.text("run").orElse("seed-" + settings.seed()));
+      return report(settings, options, run, file, duration, output);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+      return EXIT_FAILED;
+    } catch (IOException exception) {
+      throw new LoadException(LoadException.FILE_FAILED, "the client did not close", exception);
+    }
+  }
+
+  private static int report(
+      LoadSettings settings,
+      LoadOptions options,
+      LoadRun run,
+      OutcomeFile file,
+      Duration duration,
+      PrintStream output) {
+    RunTotals totals = run.totals();
+    double seconds = duration.toNanos() / NANOSECONDS_PER_SECOND;
+    List<ReportLine> lines =
+        new ArrayList<>(RunReport.lines(settings, totals, run.figures(), file.outcomes(), seconds));
+    lines.add(ReportLine.of("lost").with("outcomes", run.lostOutcomes()));
+    lines.forEach(line -> output.println(line.text()));
+    options.file("report").ifPresent(path -> ResultFiles.writeReport(path, lines));
+    options
+        .file("plot")
+        .ifPresent(path -> ResultFiles.write(path, TimePlot.of(file.outcomes()).svg()));
+    boolean fine = totals.sum().wrong() == 0 && run.lostOutcomes() == 0;
+    return fine ? EXIT_FINE : EXIT_FAILED;
+  }
+
+  private static int compare(
+      LoadSettings settings, LoadOptions options, PrintStream output, PrintStream errors) {
+    if (!options.has("outcomes")) {
+      errors.println("error=usage message=\"--outcomes FILE is missing\"; see --help");
+      return EXIT_USAGE;
+    }
+    List<Path> outcomes = List.of(options.file("outcomes").orElseThrow());
+    List<LedgerComparison.Finding> findings =
+        LedgerComparison.compare(
+            ResultFiles.lines(outcomes, OutcomeCodec::decode),
+            ResultFiles.lines(options.ledgers(), LedgerCodec::decode),
+            settings.accounts().values().stream().map(LoadSettings.Account::key).toList());
+    findings.stream().limit(FINDING_LINES).forEach(finding -> output.println(text(finding)));
+    ReportLine counts = ReportLine.of("comparison");
+    for (Map.Entry<LedgerComparison.Rule, Long> entry :
+        LedgerComparison.count(findings).entrySet()) {
+      counts = counts.with(entry.getKey().name().toLowerCase(Locale.ROOT), entry.getValue());
+    }
+    output.println(counts.text());
+    return findings.isEmpty() ? EXIT_FINE : EXIT_FAILED;
+  }
+
+  private static String text(LedgerComparison.Finding finding) {
+    return ReportLine.of("finding")
+        .with("rule", finding.rule().name().toLowerCase(Locale.ROOT))
+        .with("upstream", finding.upstream())
+        .with("detail", finding.detail())
+        .text();
+  }
+
+  private static AsyncHttpClient client(LoadSettings settings) {
+    return Dsl.asyncHttpClient(
+        Dsl.config()
+            .setConnectTimeout(CONNECT_TIMEOUT)
+            .setRequestTimeout(settings.requestTimeout())
+            .setReadTimeout(settings.requestTimeout())
+            .setMaxRequestRetry(0)
+            .setFollowRedirect(false)
+            .setKeepAlive(true)
+            .setTcpNoDelay(true));
+  }
+
+  private static String version() {
+    String version = LoadMain.class.getPackage().getImplementationVersion();
+    return version == null ? "development" : version;
+  }
+}
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadOptions.java
@@ -0,0 +1,95 @@
+package org.parsleyhead.load;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * What the command line asks for.
+ *
+ * <p>Immutable and thread-safe.
+ */
+final class LoadOptions {
+
+  static final String HELP =
+      """
+      usage: parsleyhead-load --settings FILE [options]
+             parsleyhead-load --settings FILE --outcomes FILE --compare-ledger FILE...
+
+      Sends load on a fixed schedule, checks every answer and prints figures, or
+      compares the outcomes of a run with the ledgers of the upstream stand-ins.
+
+        --settings FILE        the settings in TOML
+        --run NAME             the name of the run, in all identities (default: seed-SEED)
+        --report FILE          write the report as JSON too
+        --outcomes FILE        write each outcome as a line of JSON, or read them to compare
+        --plot FILE            write a plot of first tokens and refusals over time as SVG
+        --compare-ledger FILE  compare with this ledger; may be given several times
+        --check-settings       check the settings and exit
+        --help                 print this text and exit
+        --version              print the version and exit
+
+      Exit codes: 0 fine, 1 failed check, 2 usage or settings.
+      """;
+
+  private static final Options OPTIONS =
+      new Options()
+          .addOption(withFile("settings"))
+          .addOption(withFile("run"))
+          .addOption(withFile("report"))
+          .addOption(withFile("outcomes"))
+          .addOption(withFile("plot"))
+          .addOption(withFile("compare-ledger"))
+          .addOption(flag("check-settings"))
+          .addOption(flag("help"))
+          .addOption(flag("version"));
+
+  private final CommandLine line;
+
+  private LoadOptions(CommandLine line) {
+    this.line = line;
+  }
+
+  /**
+   * Parses a command line.
+   *
+   * @throws ParseException if an option is unknown or lacks its value
+   */
+  static LoadOptions parse(String[] arguments) throws ParseException {
+    CommandLine line = new DefaultParser().parse(OPTIONS, arguments);
+    if (!line.getArgList().isEmpty()) {
+      throw new ParseException("Unexpected argument: " + line.getArgList().get(0));
+    }
+    return new LoadOptions(line);
+  }
+
+  boolean has(String name) {
+    return line.hasOption(name);
+  }
+
+  Optional<String> text(String name) {
+    return Optional.ofNullable(line.getOptionValue(name));
+  }
+
+  Optional<Path> file(String name) {
+    return text(name).map(Path::of);
+  }
+
+  List<Path> ledgers() {
+    String[] values = line.getOptionValues("compare-ledger");
+    return values == null ? List.of() : List.of(values).stream().map(Path::of).toList();
+  }
+
+  private static Option withFile(String name) {
+    return Option.builder().longOpt(name).hasArg().get();
+  }
+
+  private static Option flag(String name) {
+    return Option.builder().longOpt(name).get();
+  }
+}
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of answers against their requests. */
+package org.parsleyhead.load.check;
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/client/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client that sends planned requests. */
+package org.parsleyhead.load.client;
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/compare/LedgerComparison.java
@@ -0,0 +1,119 @@
+package org.parsleyhead.load.compare;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.parsleyhead.load.check.Refusal;
+import org.parsleyhead.load.result.Outcome;
+import org.parsleyhead.standin.ledger.LedgerEntry;
+
+/**
+ * Compares what callers were told with what upstreams ran.
+ *
+ * <p>Stateless and thread-safe. Requests and runs are matched by the digest of their content, which
+ * no two requests of a run share.
+ */
+public final class LedgerComparison {
+
+  private LedgerComparison() {}
+
+  /** What is broken. */
+  public enum Rule {
+    /** A request that may not be repeated ran more than once. */
+    DOUBLE_RUN,
+    /** A request of which a refusal says that it did not run has run. */
+    WRONGFUL_NOT_RUN,
+    /** A request was answered of which no upstream knows. */
+    ANSWERED_WITHOUT_RUN,
+    /** A request ran on another adapter or version than it asked for. */
+    WRONG_MODEL,
+    /** A request ran that had to be refused. */
+    FORBIDDEN_RUN,
+    /** An upstream saw the key of a caller. */
+    KEY_SEEN,
+    /** An upstream saw an order that it should not have been given. */
+    ORDER_VIOLATION
+  }
+
+  /** One break of a rule. */
+  public record Finding(Rule rule, String upstream, String detail) {}
+
+  /** Returns all breaks of rules. */
+  public static List<Finding> compare(
+      List<Outcome> outcomes, List<LedgerEntry> ledger, Collection<String> keys) {
+    Map<String, List<LedgerEntry>> runs =
+        ledger.stream()
+            .filter(LedgerComparison::hasRun)
+            .collect(Collectors.groupingBy(LedgerEntry::contentDigest));
+    List<Finding> findings = new ArrayList<>();
+    for (Outcome outcome : outcomes) {
+      checkOutcome(outcome, runs.getOrDefault(outcome.contentDigest(), List.of()), findings);
+    }
+    ledger.forEach(entry -> checkEntry(entry, keys, findings));
+    return findings;
+  }
+
+  /** Returns how often each rule is broken. */
+  public static Map<Rule, Long> count(List<Finding> findings) {
+    Map<Rule, Long> counts = new EnumMap<>(Rule.class);
+    for (Rule rule : Rule.values()) {
+      counts.put(rule, findings.stream().filter(finding -> finding.rule() == rule).count());
+    }
+    return counts;
+  }
+
+  private static boolean hasRun(LedgerEntry entry) {
+    return switch (entry.kind()) {
+      case "call" -> entry.outcome().equals("finished");
+      case "completion" ->
+          entry.outcome().equals("finished") || entry.outcome().equals("cancelled");
+      default -> false;
+    };
+  }
+
+  private static void checkOutcome(
+      Outcome outcome, List<LedgerEntry> runs, List<Finding> findings) {
+    boolean call = outcome.group().kind().equals("call");
+    if (call && !outcome.idempotent() && runs.size() > 1) {
+      findings.add(finding(Rule.DOUBLE_RUN, outcome, runs));
+    }
+    if (outcome.run().equals(Refusal.NOT_RUN) && !runs.isEmpty()) {
+      findings.add(finding(Rule.WRONGFUL_NOT_RUN, outcome, runs));
+    }
+    if (outcome.end() == Outcome.End.ANSWERED && runs.isEmpty()) {
+      findings.add(finding(Rule.ANSWERED_WITHOUT_RUN, outcome, runs));
+    }
+    if (outcome.refusalExpected() && !runs.isEmpty()) {
+      findings.add(finding(Rule.FORBIDDEN_RUN, outcome, runs));
+    }
+    if (runs.stream().anyMatch(run -> !run.model().equals(outcome.model()))) {
+      findings.add(finding(Rule.WRONG_MODEL, outcome, runs));
+    }
+  }
+
+  private static Finding finding(Rule rule, Outcome outcome, List<LedgerEntry> runs) {
+    String upstreams = runs.stream().map(LedgerEntry::upstream).collect(Collectors.joining(","));
+    return new Finding(rule, upstreams, outcome.identifier());
+  }
+
+  private static void checkEntry(
+      LedgerEntry entry, Collection<String> keys, List<Finding> findings) {
+    if (entry.outcome().equals("violation")) {
+      findings.add(
+          new Finding(Rule.ORDER_VIOLATION, entry.upstream(), entry.note() + " " + entry.model()));
+    }
+    boolean seen =
+        entry.headers().stream()
+            .anyMatch(
+                field ->
+                    keys.stream()
+                        .anyMatch(
+                            key -> field.value().contains(key) || field.name().contains(key)));
+    if (seen || keys.stream().anyMatch(entry.target()::contains)) {
+      findings.add(new Finding(Rule.KEY_SEEN, entry.upstream(), entry.target()));
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a load. */
+package org.parsleyhead.load.settings;
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinCommand.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinCommand.java
@@ -1,6 +1,8 @@
 package org.parsleyhead.standin;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Consumer;
 import org.apache.commons.cli.CommandLine;
@@ -10,6 +12,8 @@
 import org.apache.commons.cli.ParseException;
 import org.parsleyhead.core.api.ParsleyheadException;
 import org.parsleyhead.runtime.settings.SettingsException;
+import org.parsleyhead.standin.settings.StandinSettings;
+import org.parsleyhead.standin.settings.StandinSettingsReader;
 
 /**
  * The command line of the stand-ins.
@@ -48,7 +52,10 @@
 
   /** Runs the command and returns its exit code. */
   static int run(
-      String[] arguments, PrintStream output, PrintStream errors, Consumer<Path> server) {
+      String[] arguments,
+      PrintStream output,
+      PrintStream errors,
+      Consumer<StandinSettings> server) {
     try {
       return run(new DefaultParser().parse(OPTIONS, arguments), output, errors, server);
     } catch (ParseException exception) {
@@ -64,7 +71,7 @@
   }
 
   private static int run(
-      CommandLine line, PrintStream output, PrintStream errors, Consumer<Path> server) {
+      CommandLine line, PrintStream output, PrintStream errors, Consumer<StandinSettings> server) {
     if (line.hasOption("help")) {
       output.print(HELP);
     } else if (line.hasOption("version")) {
@@ -72,11 +79,13 @@
     } else if (!line.hasOption("settings")) {
       errors.println("error=usage message=\"--settings FILE is missing\"; see --help");
       return EXIT_USAGE;
-    } else if (line.hasOption("check-settings")) {
-      StandinMain.read(Path.of(line.getOptionValue("settings")));
-      output.println("settings=fine");
     } else {
-      server.accept(Path.of(line.getOptionValue("settings")));
+      StandinSettings settings = read(Path.of(line.getOptionValue("settings")));
+      if (line.hasOption("check-settings")) {
+        output.println("settings=fine");
+      } else {
+        server.accept(settings);
+      }
     }
     return EXIT_FINE;
   }
@@ -85,4 +94,13 @@
     String version = StandinCommand.class.getPackage().getImplementationVersion();
     return version == null ? "development" : version;
   }
+
+  private static StandinSettings read(Path file) {
+    try {
+      return StandinSettingsReader.read(Files.readString(file));
+    } catch (IOException exception) {
+      throw new StandinException(
+          StandinException.FILE_FAILED, "cannot read the settings file " + file, exception);
+    }
+  }
 }
--- /dev/null
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinProcess.java
@@ -0,0 +1,94 @@
+package org.parsleyhead.standin;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+import org.parsleyhead.runtime.log.EventLog;
+import org.parsleyhead.standin.settings.StandinSettings;
+
+/**
+ * Running stand-ins with all their threads.
+ *
+ * <p>Thread-safe. Listeners are open from {@link #start} on.
+ */
+public final class StandinProcess implements AutoCloseable {
+
+  private static final int EVENT_LOOPS = 4;
+  private static final Duration FETCH_TIMEOUT = Duration.ofMinutes(2);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(daemon("timer"));
+  private final ExecutorService maintenance =
+      Executors.newSingleThreadExecutor(daemon("maintenance"));
+  private final AsyncHttpClient client =
+      Dsl.asyncHttpClient(
+          Dsl.config().setRequestTimeout(FETCH_TIMEOUT).setReadTimeout(FETCH_TIMEOUT));
+  private final StandinFleet fleet;
+
+  private StandinProcess(StandinSettings settings) {
+    StandinEnvironment environment =
+        new StandinEnvironment(
+            group,
+            (delay, action) -> timer.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS),
+            maintenance,
+            MonotonicClock.SYSTEM,
+            new EventLog("standin"));
+    this.fleet = new StandinFleet(settings, client, environment);
+  }
+
+  /**
+   * Starts the stand-ins of some settings and opens their listeners.
+   *
+   * @throws StandinException if an endpoint cannot be bound
+   */
+  public static StandinProcess start(StandinSettings settings) {
+    StandinProcess process = new StandinProcess(settings);
+    try {
+      process.fleet.open();
+    } catch (StandinException exception) {
+      process.close();
+      throw exception;
+    }
+    return process;
+  }
+
+  /** Returns one line of key=value pairs for each listener. */
+  public List<String> describe() {
+    return fleet.describe();
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+    timer.shutdownNow();
+    maintenance.shutdownNow();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    try {
+      client.close();
+    } catch (IOException exception) {
+      throw new StandinException(
+          StandinException.FILE_FAILED, "the client did not close", exception);
+    }
+  }
+
+  private static ThreadFactory daemon(String name) {
+    return runnable -> {
+      Thread thread = new Thread(runnable, name);
+      thread.setDaemon(true);
+      return thread;
+    };
+  }
+}
--- a/parsleyhead-standin/src/test/java/org/parsleyhead/standin/RunningFleet.java
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/RunningFleet.java
@@ -1,8 +1,5 @@
 package org.parsleyhead.standin;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -12,26 +9,15 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import org.asynchttpclient.AsyncHttpClient;
-import org.asynchttpclient.Dsl;
-import org.parsleyhead.runtime.duty.MonotonicClock;
-import org.parsleyhead.runtime.log.EventLog;
 import org.parsleyhead.standin.settings.StandinSettingsReader;
 
 /** Stand-ins on free ports, with a client for tests. */
 final class RunningFleet implements AutoCloseable {
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
-  private final AsyncHttpClient weightClient = Dsl.asyncHttpClient();
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final List<Integer> ports = new ArrayList<>();
-  private final StandinFleet fleet;
+  private final StandinProcess process;
 
   /** Starts stand-ins; each {@code PORTn} in the settings becomes the n-th free port. */
   RunningFleet(String settings, int portCount) {
@@ -40,15 +26,7 @@
     for (int index = 0; index < portCount; index++) {
       text = text.replace("PORT" + index, Integer.toString(ports.get(index)));
     }
-    StandinEnvironment environment =
-        new StandinEnvironment(
-            group,
-            (delay, action) -> timer.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS),
-            timer,
-            MonotonicClock.SYSTEM,
-            new EventLog("standin"));
-    fleet = new StandinFleet(StandinSettingsReader.read(text), weightClient, environment);
-    fleet.open();
+    process = StandinProcess.start(StandinSettingsReader.read(text));
   }
 
   int port(int index) {
@@ -84,10 +62,7 @@
   }
 
   @Override
-  public void close() throws IOException {
-    fleet.close();
-    weightClient.close();
-    timer.shutdownNow();
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  public void close() {
+    process.close();
   }
 }
--- a/parsleyhead-standin/src/test/java/org/parsleyhead/standin/StandinFleetTests.java
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/StandinFleetTests.java
@@ -51,7 +51,7 @@
   private final RunningFleet fleet = new RunningFleet(SETTINGS, 6);
 
   @AfterEach
-  void close() throws IOException {
+  void close() {
     fleet.close();
   }
 
