Fleets of configuration cores; bind transfers to the run that asked

Ruled out: asking for all buckets, which costs the whole catalogue each time. Change: each comparison has an identifier drawn from the run's random numbers, a transfer names the comparison it answers, and other transfers are dropped. Conclusion: a transfer is safe only for the state that asked for it.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/TicketMessages.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/TicketMessages.java
@@ -92,25 +92,30 @@
 
   private static void writeComparison(DigestComparison comparison, MessagePacker packer)
       throws IOException {
-    packer.packBoolean(comparison.answerWanted()).packArrayHeader(comparison.sums().size());
+    packer
+        .packLong(comparison.identifier())
+        .packBoolean(comparison.answerWanted())
+        .packArrayHeader(comparison.sums().size());
     for (long sum : comparison.sums()) {
       packer.packLong(sum);
     }
   }
 
   private static DigestComparison readComparison(MessageUnpacker unpacker) throws IOException {
+    long identifier = unpacker.unpackLong();
     boolean answerWanted = unpacker.unpackBoolean();
     List<Long> sums = new ArrayList<>();
     int size = unpacker.unpackArrayHeader();
     for (int index = 0; index < size; index++) {
       sums.add(unpacker.unpackLong());
     }
-    return new DigestComparison(sums, answerWanted);
+    return new DigestComparison(identifier, sums, answerWanted);
   }
 
   private static void writeTransfer(ItemTransfer transfer, MessagePacker packer)
       throws IOException {
     packer
+        .packLong(transfer.comparison())
         .packLong(transfer.identifier())
         .packInt(transfer.part())
         .packInt(transfer.parts())
@@ -123,6 +128,7 @@
   }
 
   private static ItemTransfer readTransfer(MessageUnpacker unpacker) throws IOException {
+    long comparison = unpacker.unpackLong();
     long identifier = unpacker.unpackLong();
     int part = unpacker.unpackInt();
     int parts = unpacker.unpackInt();
@@ -134,6 +140,6 @@
       Change change = ItemEncoding.read(unpacker);
       items.add(new HeardItem(change.key(), new VersionedItem(number, change.item())));
     }
-    return new ItemTransfer(identifier, part, parts, mergedThrough, items);
+    return new ItemTransfer(comparison, identifier, part, parts, mergedThrough, items);
   }
 }
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/TicketMessagesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/TicketMessagesTests.java
@@ -85,8 +85,8 @@
     return Stream.of(
         new TicketFragment(number, 2, 3, changes),
         new ConfigurationSummary(8, 9, -5, Duration.ofSeconds(4), true, false),
-        new DigestComparison(Collections.nCopies(256, Long.MIN_VALUE), true),
-        new ItemTransfer(-7, 1, 2, 8, items));
+        new DigestComparison(4, Collections.nCopies(256, Long.MIN_VALUE), true),
+        new ItemTransfer(4, -7, 1, 2, 8, items));
   }
 
   @ParameterizedTest
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/DigestComparison.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/DigestComparison.java
@@ -9,10 +9,12 @@
  *
  * <p>Immutable and thread-safe.
  *
+ * @param identifier identifies this comparison among those of the sender's run
  * @param sums the digests of the sender's buckets
  * @param answerWanted whether the receiver shall send its digests too
  */
-public record DigestComparison(List<Long> sums, boolean answerWanted) implements PeerMessage {
+public record DigestComparison(long identifier, List<Long> sums, boolean answerWanted)
+    implements PeerMessage {
 
   /** Checks and copies the digests. */
   public DigestComparison {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/ItemTransfer.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/ItemTransfer.java
@@ -10,6 +10,7 @@
  *
  * <p>Immutable and thread-safe.
  *
+ * @param comparison the comparison of the receiver that is answered
  * @param identifier identifies the transfer among those of the sender
  * @param part the number of this part, one or more
  * @param parts how many parts the transfer has
@@ -17,7 +18,12 @@
  * @param items the items in this part
  */
 public record ItemTransfer(
-    long identifier, int part, int parts, long mergedThrough, List<HeardItem> items)
+    long comparison,
+    long identifier,
+    int part,
+    int parts,
+    long mergedThrough,
+    List<HeardItem> items)
     implements PeerMessage {
 
   /** The most parts of one transfer. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerExchange.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerExchange.java
@@ -15,10 +15,12 @@
  *
  * <p>Stateless apart from its settings and thread-safe. A comparison of equal catalogues costs two
  * short messages. Single missing tickets are passed on as they were published; other differences
- * are found by the digests of buckets, and only the items of differing buckets are sent.
+ * are found by the digests of buckets, and only the items of differing buckets are sent. A transfer
+ * is merged only by the run that asked for it, since a new run lacks the buckets that were equal.
  */
 final class PeerExchange {
 
+  private static final long NO_SEED = 0;
   private static final int START_FANOUT = 3;
   private static final int MAXIMUM_PART_BYTES = 512 * 1024;
   private static final int MAXIMUM_TRANSFERS = 4;
@@ -71,12 +73,11 @@
         behind ? heard.log().between(summary.mergedThrough(), heard.mergedThrough()) : List.of();
     lacked.forEach(fragment -> effects.add(new ConfigurationEffect.Send(from, fragment)));
     boolean equallyFar = summary.mergedThrough() == heard.mergedThrough();
-    if (lacked.isEmpty() && (behind || (equallyFar && !summary.answerWanted()))) {
-      effects.add(
-          new ConfigurationEffect.Send(
-              from, new DigestComparison(heard.catalogue().digests().sums(), true)));
-    }
-    return heard;
+    boolean compares =
+        heard.seed() != NO_SEED
+            && lacked.isEmpty()
+            && (behind || (equallyFar && !summary.answerWanted()));
+    return compares ? sendDigests(heard, from, true, effects) : heard;
   }
 
   /** Takes up another host's digests and sends the items of the buckets that differ. */
@@ -88,16 +89,16 @@
       List<ConfigurationEffect> effects) {
     BucketDigests own = state.catalogue().digests();
     List<Integer> differing = own.differingFrom(comparison.sums());
-    sendItems(state, from, differing, effects);
+    ConfigurationState sent = sendItems(state, from, comparison.identifier(), differing, effects);
     boolean busy =
-        time.isBefore(state.peers().nextTransfer())
+        state.seed() == NO_SEED
+            || time.isBefore(state.peers().nextTransfer())
             || state.service().snapshot().status() == SnapshotStatus.READING;
     if (!comparison.answerWanted() || differing.isEmpty() || busy) {
-      return state;
+      return sent;
     }
-    effects.add(new ConfigurationEffect.Send(from, new DigestComparison(own.sums(), false)));
-    return state.withPeers(
-        state.peers().withNextTransfer(time.plus(settings.comparisonInterval())));
+    PeerState peers = sent.peers().withNextTransfer(time.plus(settings.comparisonInterval()));
+    return sendDigests(sent.withPeers(peers), from, false, effects);
   }
 
   /** Takes up a part of a transfer; merges the transfer if it is now complete. */
@@ -106,6 +107,10 @@
       HostName from,
       ItemTransfer transfer,
       List<ConfigurationEffect> effects) {
+    Long comparison = state.peers().comparisons().get(from);
+    if (comparison == null || comparison != transfer.comparison()) {
+      return state;
+    }
     PMap<HostName, PMap<Integer, ItemTransfer>> transfers = state.peers().transfers();
     PMap<Integer, ItemTransfer> parts = partsOf(transfers.get(from), transfer);
     boolean tooMany = !transfers.containsKey(from) && transfers.size() >= MAXIMUM_TRANSFERS;
@@ -137,23 +142,47 @@
     return parts.plus(transfer.part(), transfer);
   }
 
-  private static void sendItems(
+  /** Sends the digests of this host; the answer is bound to this comparison of this run. */
+  private static ConfigurationState sendDigests(
+      ConfigurationState state,
+      HostName to,
+      boolean answerWanted,
+      List<ConfigurationEffect> effects) {
+    long identifier = drawIdentifier(state);
+    List<Long> sums = state.catalogue().digests().sums();
+    effects.add(
+        new ConfigurationEffect.Send(to, new DigestComparison(identifier, sums, answerWanted)));
+    return state.withPeers(state.peers().withComparison(to, identifier));
+  }
+
+  private static long drawIdentifier(ConfigurationState state) {
+    return RandomNumbers.derive(state.seed(), START_FANOUT + state.peers().identifiers());
+  }
+
+  private static ConfigurationState sendItems(
       ConfigurationState state,
       HostName to,
+      long comparison,
       List<Integer> buckets,
       List<ConfigurationEffect> effects) {
     List<HeardItem> items = state.catalogue().itemsIn(new HashSet<>(buckets));
     if (items.isEmpty()) {
-      return;
+      return state;
     }
     List<List<HeardItem>> parts = split(items);
-    long identifier = RandomNumbers.derive(state.seed(), START_FANOUT);
+    long identifier = drawIdentifier(state);
     for (int part = 1; part <= parts.size(); part++) {
       ItemTransfer transfer =
           new ItemTransfer(
-              identifier, part, parts.size(), state.mergedThrough(), parts.get(part - 1));
+              comparison,
+              identifier,
+              part,
+              parts.size(),
+              state.mergedThrough(),
+              parts.get(part - 1));
       effects.add(new ConfigurationEffect.Send(to, transfer));
     }
+    return state.withPeers(state.peers().withDrawnIdentifier());
   }
 
   private static List<List<HeardItem>> split(List<HeardItem> items) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerState.java
@@ -18,6 +18,8 @@
  * @param alive the hosts that count as alive
  * @param nextComparison when the next comparison is due
  * @param nextTransfer when the next transfer of items may be asked for
+ * @param identifiers how many identifiers of messages were drawn
+ * @param comparisons the last comparison that was sent to each host
  * @param transfers the parts of transfers that came, by sender
  * @param readyPeerHeard whether a host that serves callers told how far its catalogue reaches
  * @param target the highest number up to which another host has merged all tickets
@@ -27,30 +29,102 @@
     Set<HostName> alive,
     MonotonicTime nextComparison,
     MonotonicTime nextTransfer,
+    int identifiers,
+    PMap<HostName, Long> comparisons,
     PMap<HostName, PMap<Integer, ItemTransfer>> transfers,
     boolean readyPeerHeard,
     long target) {
 
   static PeerState initial(MonotonicTime time) {
-    return new PeerState(HostList.EMPTY, Set.of(), time, time, HashTreePMap.empty(), false, 0);
+    return new PeerState(
+        HostList.EMPTY,
+        Set.of(),
+        time,
+        time,
+        0,
+        HashTreePMap.empty(),
+        HashTreePMap.empty(),
+        false,
+        0);
   }
 
   PeerState withHosts(HostList newList, Set<HostName> newAlive) {
     HostList newest = newList.version() >= list.version() ? newList : list;
     return new PeerState(
-        newest, newAlive, nextComparison, nextTransfer, transfers, readyPeerHeard, target);
+        newest,
+        newAlive,
+        nextComparison,
+        nextTransfer,
+        identifiers,
+        comparisons,
+        transfers,
+        readyPeerHeard,
+        target);
   }
 
   PeerState withNextComparison(MonotonicTime next) {
-    return new PeerState(list, alive, next, nextTransfer, transfers, readyPeerHeard, target);
+    return new PeerState(
+        list,
+        alive,
+        next,
+        nextTransfer,
+        identifiers,
+        comparisons,
+        transfers,
+        readyPeerHeard,
+        target);
   }
 
   PeerState withNextTransfer(MonotonicTime next) {
-    return new PeerState(list, alive, nextComparison, next, transfers, readyPeerHeard, target);
+    return new PeerState(
+        list,
+        alive,
+        nextComparison,
+        next,
+        identifiers,
+        comparisons,
+        transfers,
+        readyPeerHeard,
+        target);
   }
 
   PeerState withTransfers(PMap<HostName, PMap<Integer, ItemTransfer>> parts) {
-    return new PeerState(list, alive, nextComparison, nextTransfer, parts, readyPeerHeard, target);
+    return new PeerState(
+        list,
+        alive,
+        nextComparison,
+        nextTransfer,
+        identifiers,
+        comparisons,
+        parts,
+        readyPeerHeard,
+        target);
+  }
+
+  PeerState withDrawnIdentifier() {
+    return new PeerState(
+        list,
+        alive,
+        nextComparison,
+        nextTransfer,
+        identifiers + 1,
+        comparisons,
+        transfers,
+        readyPeerHeard,
+        target);
+  }
+
+  PeerState withComparison(HostName host, long identifier) {
+    return new PeerState(
+        list,
+        alive,
+        nextComparison,
+        nextTransfer,
+        identifiers + 1,
+        comparisons.plus(host, identifier),
+        transfers,
+        readyPeerHeard,
+        target);
   }
 
   PeerState heard(boolean ready, long mergedThrough) {
@@ -59,6 +133,8 @@
         alive,
         nextComparison,
         nextTransfer,
+        identifiers,
+        comparisons,
         transfers,
         readyPeerHeard || ready,
         Math.max(target, mergedThrough));
