Transport between entry hosts

Cause: the protocols of the core need messages between hosts, over connections that may go silent for good while new ones work. Ruled out: one connection used by both ends (who opens it would have to be agreed on), and TCP keepalive (minutes, and no figures). Change: one outgoing connection for each host that is sent to, opened on demand, with pings as empty frames, random growing delays and bounded queues; only listed senders from their listed address are listened to. Conclusion: loss is counted and left to the protocols above.

--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransport.java
@@ -0,0 +1,173 @@
+package org.parsleyhead.entry.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.parsleyhead.codec.peer.Envelope;
+import org.parsleyhead.codec.peer.PeerMessageCodec;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.membership.HostEntry;
+import org.parsleyhead.core.membership.HostList;
+import org.parsleyhead.runtime.duty.Duty;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+import org.parsleyhead.runtime.duty.Ring;
+import org.parsleyhead.runtime.log.EventLog;
+
+/**
+ * Sends messages to other entry hosts and hands on what they send.
+ *
+ * <p>Thread-safe. One duty thread decides on connections, encodes and writes; event loops read.
+ * Only listed hosts are sent to and listened to. Messages may be lost, delayed and, over a replaced
+ * connection, reordered; they are never blocked on.
+ */
+public final class PeerTransport implements AutoCloseable {
+
+  private static final EventLog LOG = new EventLog("peer_transport");
+  private static final int EVENT_LOOPS = 2;
+  private static final int RING_CAPACITY = 4_096;
+  private static final int ACCEPT_BACKLOG = 512;
+
+  private final Supplier<HostList> hostList;
+  private final TransportCounters counters = new TransportCounters();
+  private final EventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(
+          EVENT_LOOPS,
+          new DefaultThreadFactory("peer-event-loop", true),
+          NioIoHandler.newFactory());
+  private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Duty<Links.State, LinkEvent, LinkEffect> duty;
+  private final Ring<LinkEvent> ring = new Ring<>("peer-sender", RING_CAPACITY);
+
+  private PeerTransport(
+      PeerTransportSettings settings,
+      PeerMessageCodec codec,
+      Supplier<HostList> hostList,
+      MonotonicClock clock,
+      LongSupplier randomNumbers) {
+    this.hostList = hostList;
+    LinkExecutor executor = new LinkExecutor(settings, codec, eventLoops, ring::offer, counters);
+    this.duty =
+        new Duty<>(
+            ring,
+            Links.State.INITIAL,
+            new Links(settings),
+            executor,
+            () -> new LinkEvent.Tick(randomNumbers.getAsLong()),
+            settings.tickInterval(),
+            clock,
+            failure -> LOG.failure("peer_send_failed", failure));
+  }
+
+  /**
+   * Starts to listen and to send.
+   *
+   * @param settings the identity and numbers of the transport
+   * @param codec the encoding of all messages that are sent and received
+   * @param hostList gives the newest host list; called from several threads
+   * @param receiver takes what other hosts send; runs on event loops and must not block
+   * @param clock gives the time
+   * @param randomNumbers gives random numbers
+   * @throws PeerTransportException if the endpoint cannot be bound
+   */
+  public static PeerTransport start(
+      PeerTransportSettings settings,
+      PeerMessageCodec codec,
+      Supplier<HostList> hostList,
+      Consumer<Envelope> receiver,
+      MonotonicClock clock,
+      LongSupplier randomNumbers) {
+    PeerTransport transport = new PeerTransport(settings, codec, hostList, clock, randomNumbers);
+    transport.listen(settings, codec, receiver);
+    transport.duty.start();
+    return transport;
+  }
+
+  /**
+   * Sends a message, at most once and without waiting.
+   *
+   * @return false if it was dropped at once: the host is not listed or the ring is full
+   */
+  public boolean send(HostName host, PeerMessage message) {
+    Optional<Endpoint> endpoint = hostList.get().find(host).map(HostEntry::peerEndpoint);
+    boolean accepted =
+        endpoint.isPresent()
+            && ring.offer(new LinkEvent.SendRequested(host, endpoint.get(), message));
+    if (!accepted) {
+      counters.dropped.increment();
+    }
+    return accepted;
+  }
+
+  /** Returns what the transport has done since its start. */
+  public TransportFigures figures() {
+    return counters.figures();
+  }
+
+  /** Closes all connections and stops all threads. */
+  @Override
+  public void close() {
+    duty.close();
+    accepted.close();
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private void listen(
+      PeerTransportSettings settings, PeerMessageCodec codec, Consumer<Envelope> receiver) {
+    Endpoint endpoint = settings.listenEndpoint();
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accepted.add(channel);
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new ReadTimeoutHandler(
+                                settings.idleLimit().toMillis(), TimeUnit.MILLISECONDS),
+                            Frames.decoder(),
+                            new IncomingHandler(
+                                codec, hostList, settings.verifyAddress(), receiver, counters));
+                  }
+                });
+    try {
+      Channel channel = server.bind(endpoint.address(), endpoint.port()).sync().channel();
+      accepted.add(channel);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+      throw failed(endpoint, exception);
+    } catch (Exception exception) {
+      throw failed(endpoint, exception);
+    }
+  }
+
+  private PeerTransportException failed(Endpoint endpoint, Exception cause) {
+    eventLoops.shutdownGracefully();
+    return new PeerTransportException(
+        PeerTransportException.BIND_FAILED, "cannot listen on " + endpoint, cause);
+  }
+}
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The transport of messages between entry hosts: TCP with length-prefixed frames. */
+package org.parsleyhead.entry.peer;
