Shares of the limits of client accounts: cuts, loans, reservations and their messages

Cause: rate and burst have to hold over all hosts of a cell together. Ruled out: pieces for each ordered pair of hosts with claims after a leave. A dead host's pieces towards others stay unusable, two dropped hosts that attest to each other keep theirs for ever, and each join needs a recut anyway. Equal shares that are used under a quorum of attestations lose only the dead host's own share, and one rule covers joins and leaves. Messages 60 to 63.

--- /dev/null
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/QuotaMessageTypes.java
@@ -0,0 +1,174 @@
+package org.parsleyhead.codec.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.quota.Cut;
+import org.parsleyhead.core.quota.CutView;
+import org.parsleyhead.core.quota.LoanGrant;
+import org.parsleyhead.core.quota.LoanIdentifier;
+import org.parsleyhead.core.quota.LoanRequest;
+import org.parsleyhead.core.quota.LoanReturn;
+import org.parsleyhead.core.quota.QuotaNotice;
+
+/**
+ * The encodings of the messages about quota shares and loans, codes 60 to 63.
+ *
+ * <p>Stateless and thread-safe. Durations are whole milliseconds, rounded down.
+ */
+public final class QuotaMessageTypes {
+
+  /** All types of this group. */
+  public static final List<MessageType<?>> ALL =
+      List.of(
+          new MessageType<>(
+              60, QuotaNotice.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeNotice),
+          new MessageType<>(
+              61, LoanRequest.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeRequest),
+          new MessageType<>(
+              62, LoanGrant.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeGrant),
+          new MessageType<>(
+              63, LoanReturn.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeReturn));
+
+  /** The most cuts that one notice may name. */
+  private static final int MAXIMUM_CUTS = 64;
+
+  /** The most members that one cut may have. */
+  private static final int MAXIMUM_MEMBERS = 256;
+
+  private QuotaMessageTypes() {}
+
+  private static void encode(QuotaNotice message, MessagePacker packer) throws IOException {
+    packer.packLong(message.round());
+    packer.packBoolean(message.echo().isPresent());
+    if (message.echo().isPresent()) {
+      packer.packLong(message.echo().get().incarnation().value());
+      packer.packLong(message.echo().get().round());
+    }
+    packer.packLong(message.listVersion());
+    packer.packBoolean(message.entered());
+    packer.packBoolean(message.cuts().base().isPresent());
+    List<Cut> cuts = message.cuts().all();
+    packer.packArrayHeader(cuts.size());
+    for (Cut cut : cuts) {
+      encode(cut, packer);
+    }
+  }
+
+  private static QuotaNotice decodeNotice(MessageUnpacker unpacker) throws IOException {
+    long round = unpacker.unpackLong();
+    Optional<QuotaNotice.Echo> echo =
+        unpacker.unpackBoolean()
+            ? Optional.of(
+                new QuotaNotice.Echo(new Incarnation(unpacker.unpackLong()), unpacker.unpackLong()))
+            : Optional.empty();
+    long listVersion = unpacker.unpackLong();
+    boolean entered = unpacker.unpackBoolean();
+    boolean hasBase = unpacker.unpackBoolean();
+    int count = unpackCount(unpacker, MAXIMUM_CUTS);
+    Preconditions.require(!hasBase || count > 0, "cuts", "must hold the installed cut");
+    List<Cut> cuts = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      cuts.add(decodeCut(unpacker));
+    }
+    Optional<Cut> base = hasBase ? Optional.of(cuts.remove(0)) : Optional.empty();
+    return new QuotaNotice(round, echo, listVersion, entered, new CutView(base, cuts));
+  }
+
+  private static void encode(Cut cut, MessagePacker packer) throws IOException {
+    packer.packLong(cut.version());
+    packer.packArrayHeader(cut.members().size());
+    for (HostName member : cut.members()) {
+      packer.packString(member.text());
+    }
+  }
+
+  private static Cut decodeCut(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    int count = unpackCount(unpacker, MAXIMUM_MEMBERS);
+    SortedSet<HostName> members = new TreeSet<>();
+    for (int index = 0; index < count; index++) {
+      members.add(new HostName(unpacker.unpackString()));
+    }
+    return new Cut(version, members);
+  }
+
+  private static int unpackCount(MessageUnpacker unpacker, int maximum) throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    Preconditions.require(count <= maximum, "count", "must be at most " + maximum);
+    return count;
+  }
+
+  private static void encode(LoanRequest message, MessagePacker packer) throws IOException {
+    packer.packLong(message.number());
+    packer.packString(message.account().text());
+    packer.packLong(message.parts());
+    packer.packLong(message.microtokens());
+    packer.packBoolean(message.renewed().isPresent());
+    if (message.renewed().isPresent()) {
+      encode(message.renewed().get(), packer);
+    }
+  }
+
+  private static LoanRequest decodeRequest(MessageUnpacker unpacker) throws IOException {
+    return new LoanRequest(
+        unpacker.unpackLong(),
+        new ClientAccountName(unpacker.unpackString()),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        unpacker.unpackBoolean() ? Optional.of(decodeLoan(unpacker)) : Optional.empty());
+  }
+
+  private static void encode(LoanGrant message, MessagePacker packer) throws IOException {
+    packer.packLong(message.requestNumber());
+    packer.packLong(message.borrower().value());
+    packer.packString(message.account().text());
+    encode(message.loan(), packer);
+    packer.packLong(message.parts());
+    packer.packLong(message.microtokens());
+    packer.packLong(message.duration().toMillis());
+  }
+
+  private static LoanGrant decodeGrant(MessageUnpacker unpacker) throws IOException {
+    return new LoanGrant(
+        unpacker.unpackLong(),
+        new Incarnation(unpacker.unpackLong()),
+        new ClientAccountName(unpacker.unpackString()),
+        decodeLoan(unpacker),
+        unpacker.unpackLong(),
+        unpacker.unpackLong(),
+        Duration.ofMillis(unpacker.unpackLong()));
+  }
+
+  private static void encode(LoanReturn message, MessagePacker packer) throws IOException {
+    packer.packString(message.account().text());
+    encode(message.loan(), packer);
+    packer.packLong(message.microtokens());
+  }
+
+  private static LoanReturn decodeReturn(MessageUnpacker unpacker) throws IOException {
+    return new LoanReturn(
+        new ClientAccountName(unpacker.unpackString()),
+        decodeLoan(unpacker),
+        unpacker.unpackLong());
+  }
+
+  private static void encode(LoanIdentifier loan, MessagePacker packer) throws IOException {
+    packer.packLong(loan.lender().value());
+    packer.packLong(loan.number());
+  }
+
+  private static LoanIdentifier decodeLoan(MessageUnpacker unpacker) throws IOException {
+    return new LoanIdentifier(new Incarnation(unpacker.unpackLong()), unpacker.unpackLong());
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/AdmissionRules.java
@@ -0,0 +1,128 @@
+package org.parsleyhead.core.quota;
+
+import java.time.Duration;
+import java.util.List;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.quota.AccountState.Reservation;
+import org.parsleyhead.core.quota.AccountState.WaitingRequest;
+import org.pcollections.PVector;
+
+/**
+ * Admits and refuses requests and accounts for their tokens.
+ *
+ * <p>Stateless apart from its settings and thread-safe. A request is admitted only against tokens
+ * of the bucket, and only while this host may use its share.
+ */
+final class AdmissionRules {
+
+  private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
+  private static final Duration LONGEST_RETRY = Duration.ofMinutes(1);
+
+  private final QuotaSettings settings;
+
+  AdmissionRules(QuotaSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Takes up a request: it waits behind those that came before. */
+  AccountState queue(
+      AccountState state, QuotaEvent.Reserve event, MonotonicTime time, List<QuotaEffect> effects) {
+    long amount = QuotaUnits.microtokens(event.tokens());
+    if (amount > state.limits().capacity(QuotaUnits.PARTS)) {
+      effects.add(
+          new QuotaEffect.Refused(event.request(), RefusalReason.LARGER_THAN_BURST, Duration.ZERO));
+      return state;
+    }
+    WaitingRequest request =
+        new WaitingRequest(event.request(), amount, time.plus(settings.maximumWait()));
+    return state
+        .withDemand(state.demand().plus(amount, time))
+        .withWaiting(state.waiting().plus(request));
+  }
+
+  /** Puts other limits in force; waiting requests that they can never admit are refused. */
+  AccountState limit(AccountState state, Limits limits, List<QuotaEffect> effects) {
+    AccountState limited = state.withBucket(state.bucket().withLimits(limits));
+    RefusalReason reason =
+        limits.isEmpty() ? RefusalReason.UNKNOWN_ACCOUNT : RefusalReason.LARGER_THAN_BURST;
+    for (WaitingRequest request : state.waiting()) {
+      if (request.microtokens() > limits.capacity(QuotaUnits.PARTS)) {
+        effects.add(new QuotaEffect.Refused(request.request(), reason, Duration.ZERO));
+        limited = limited.withWaiting(limited.waiting().minus(request));
+      }
+    }
+    return limited;
+  }
+
+  /** Admits the requests that wait, in their order, as far as tokens reach. */
+  AccountState admit(
+      AccountState state, ShareState share, MonotonicTime time, List<QuotaEffect> effects) {
+    boolean usable = share.parts() == 0 || share.isUsable(time);
+    AccountState current = state;
+    while (usable
+        && !current.waiting().isEmpty()
+        && current.waiting().get(0).microtokens() <= current.bucket().level()) {
+      WaitingRequest request = current.waiting().get(0);
+      TokenBucket charged = current.bucket().charge(request.microtokens());
+      Reservation reservation = new Reservation(request.microtokens(), charged.mark());
+      effects.add(new QuotaEffect.Admitted(request.request()));
+      current =
+          current
+              .withBucket(charged)
+              .withReservations(current.reservations().plus(request.request(), reservation))
+              .withWaiting(current.waiting().minus(0));
+    }
+    return current;
+  }
+
+  /** Refuses the requests that have waited too long. */
+  AccountState refuseOverdue(
+      AccountState state, ShareState share, MonotonicTime time, List<QuotaEffect> effects) {
+    PVector<WaitingRequest> waiting = state.waiting();
+    AccountState current = state;
+    while (!waiting.isEmpty() && !time.isBefore(waiting.get(0).deadline())) {
+      effects.add(refusal(current, share, waiting.get(0)));
+      waiting = waiting.minus(0);
+    }
+    return waiting == state.waiting() ? state : current.withWaiting(waiting);
+  }
+
+  /** Gives back what a request reserved and did not use. */
+  AccountState settle(
+      AccountState state, RequestIdentifier request, long microtokens, MonotonicTime time) {
+    Reservation reservation = state.reservations().get(request);
+    if (reservation == null) {
+      return withoutWaiting(state, request);
+    }
+    long unused = Math.max(0, reservation.microtokens() - microtokens);
+    return state
+        .withBucket(state.bucket().refund(reservation.mark(), unused))
+        .withDemand(state.demand().plus(-unused, time))
+        .withReservations(state.reservations().minus(request));
+  }
+
+  private static AccountState withoutWaiting(AccountState state, RequestIdentifier request) {
+    PVector<WaitingRequest> waiting = state.waiting();
+    for (WaitingRequest candidate : state.waiting()) {
+      if (candidate.request().equals(request)) {
+        waiting = waiting.minus(candidate);
+      }
+    }
+    return waiting == state.waiting() ? state : state.withWaiting(waiting);
+  }
+
+  private static QuotaEffect refusal(AccountState state, ShareState share, WaitingRequest request) {
+    RefusalReason reason =
+        share.rightUntil().isEmpty() && state.borrowed().isEmpty()
+            ? RefusalReason.NO_SHARE
+            : RefusalReason.RATE_EXCEEDED;
+    long lacking = Math.max(0, request.microtokens() - state.bucket().level());
+    long rate = Math.max(1, state.limits().rate(QuotaUnits.PARTS));
+    long milliseconds = lacking / Math.max(1, rate / 1000);
+    Duration retry =
+        Duration.ofMillis(
+            Math.max(SHORTEST_RETRY.toMillis(), Math.min(milliseconds, LONGEST_RETRY.toMillis())));
+    return new QuotaEffect.Refused(request.request(), reason, retry);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Limits.java
@@ -0,0 +1,45 @@
+package org.parsleyhead.core.quota;
+
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.TicketNumber;
+
+/**
+ * The limits of a client account as a ticket declares them.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param ticket the number of the ticket
+ * @param tokensPerSecond the rate, at most {@link QuotaUnits#MAXIMUM_LIMIT}
+ * @param burstTokens the burst, at most {@link QuotaUnits#MAXIMUM_LIMIT}
+ */
+public record Limits(TicketNumber ticket, long tokensPerSecond, long burstTokens) {
+
+  /** Checks the limits and cuts them to what is accounted for. */
+  public Limits {
+    Preconditions.requireNonNull(ticket, "ticket");
+    Preconditions.requireNonNegative(tokensPerSecond, "tokensPerSecond");
+    Preconditions.requireNonNegative(burstTokens, "burstTokens");
+    tokensPerSecond = Math.min(tokensPerSecond, QuotaUnits.MAXIMUM_LIMIT);
+    burstTokens = Math.min(burstTokens, QuotaUnits.MAXIMUM_LIMIT);
+  }
+
+  /** Returns the limits of an account that a ticket deleted. */
+  static Limits deleted(TicketNumber ticket) {
+    return new Limits(ticket, 0, 0);
+  }
+
+  /** Tells whether nothing at all is allowed, as for a deleted account. */
+  boolean isEmpty() {
+    return tokensPerSecond == 0 && burstTokens == 0;
+  }
+
+  /** Returns the burst of a share, in microtokens. */
+  long capacity(long parts) {
+    return burstTokens * parts;
+  }
+
+  /** Returns the rate of a share, in microtokens per second. */
+  long rate(long parts) {
+    return tokensPerSecond * parts;
+  }
+}
