Scheduling and engine ownership duties

Cause: requests for thousands of adapters need one place that decides what each engine holds, and a queue that never waits behind a load.

Ruled out: renewing short pins (resident adapters would stop being served during every change of owner); one queue for each engine (a request would be bound to an engine before it is known which has room).

Change: core.engine with pins, loads, evictions and transfer permits; core.scheduling with queues, dispatch, placement and the baselines; a fake fleet on a fake clock. Step.andThen joins two decisions.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/api/Step.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/api/Step.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * The outcome of one transition: the new state and the effects to carry out.
@@ -37,4 +38,10 @@
     all.addAll(further);
     return new Step<>(state, all);
   }
+
+  /** Returns the outcome of this step and then of another decision on its state. */
+  public Step<S, F> andThen(Function<? super S, Step<S, F>> next) {
+    Step<S, F> following = next.apply(state);
+    return new Step<>(following.state, effects).with(following.effects);
+  }
 }
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Acquisition.java
@@ -0,0 +1,83 @@
+package org.parsleyhead.core.engine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Rendezvous;
+import org.parsleyhead.core.membership.Standing;
+
+/**
+ * How long this host has had the exclusive right to something that the host list gives to one host.
+ *
+ * <p>The right is exclusive while all other members attest, at the list version of the acquisition
+ * or a later one, that they do not use what belongs to this host, and while this host may claim
+ * from each dropped host that preceded it. Any gap, also one that was slept through, starts the
+ * count anew.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param key the rendezvous key
+ * @param version the list version at which this host became the first in the order
+ * @param exclusiveSince since when the right has been exclusive without a gap; empty if it is not
+ * @param coveredUntil until when the attestations last seen cover it
+ */
+record Acquisition(
+    String key, long version, Optional<MonotonicTime> exclusiveSince, MonotonicTime coveredUntil) {
+
+  /** Tells whether the list gives something to this host. */
+  static boolean belongsToSelf(Standing standing, String key) {
+    return Rendezvous.first(key, standing.members()).equals(Optional.of(standing.self()));
+  }
+
+  /** Returns an acquisition that is not yet exclusive. */
+  static Acquisition begin(Standing standing, String key, MonotonicTime time) {
+    return new Acquisition(key, standing.version(), Optional.empty(), time);
+  }
+
+  /** Returns this acquisition after a look at the attestations. */
+  Acquisition observe(Standing standing, MonotonicTime time) {
+    if (!isExclusiveNow(standing, time)) {
+      return new Acquisition(key, version, Optional.empty(), time);
+    }
+    boolean unbroken = exclusiveSince.isPresent() && isCovered(standing, time);
+    return new Acquisition(
+        key, version, unbroken ? exclusiveSince : Optional.of(time), coveredUntil(standing, time));
+  }
+
+  /** Tells whether the right has been exclusive for a duration and still is. */
+  boolean isExclusiveFor(Duration duration, Standing standing, MonotonicTime time) {
+    return exclusiveSince.isPresent()
+        && !time.isBefore(exclusiveSince.get().plus(duration))
+        && isCovered(standing, time)
+        && isExclusiveNow(standing, time);
+  }
+
+  private boolean isExclusiveNow(Standing standing, MonotonicTime time) {
+    return standing.isAttestedByAll(time)
+        && standing.members().stream()
+            .filter(member -> !member.equals(standing.self()))
+            .allMatch(member -> standing.attestedVersion().getOrDefault(member, -1L) >= version)
+        && standing.claimableFrom().keySet().stream()
+            .filter(dropped -> !standing.members().contains(dropped))
+            .filter(dropped -> precedes(dropped, standing.self()))
+            .allMatch(dropped -> standing.mayClaimFrom(dropped, time));
+  }
+
+  private boolean precedes(HostName dropped, HostName self) {
+    return Rendezvous.order(key, List.of(dropped, self)).get(0).equals(dropped);
+  }
+
+  private static MonotonicTime coveredUntil(Standing standing, MonotonicTime time) {
+    return standing.members().stream()
+        .filter(member -> !member.equals(standing.self()))
+        .map(member -> standing.attestedUntil().get(member))
+        .min(MonotonicTime::compareTo)
+        .orElse(time);
+  }
+
+  private boolean isCovered(Standing standing, MonotonicTime time) {
+    return standing.members().size() <= 1 || time.isBefore(coveredUntil);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineEvent.java
@@ -0,0 +1,40 @@
+package org.parsleyhead.core.engine;
+
+import java.util.List;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.ticket.UpstreamItem;
+
+/** What the ownership duty hears. Implementations are immutable and thread-safe. */
+public sealed interface EngineEvent {
+
+  /** The host list or the attestations changed. */
+  record StandingChanged(Standing standing) implements EngineEvent {}
+
+  /** The upstreams of this cell changed; plain services among them are ignored. */
+  record UpstreamsChanged(List<UpstreamItem> upstreams) implements EngineEvent {
+
+    /** Copies the list. */
+    public UpstreamsChanged {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /** A host of the cell, this one included, sent a message about pins or permits. */
+  record MessageReceived(Sender sender, PeerMessage message) implements EngineEvent {}
+
+  /** An engine answered a reading. */
+  record Reported(EngineReport report) implements EngineEvent {}
+
+  /** A reading of an engine failed. */
+  record ReadFailed(UpstreamName engine) implements EngineEvent {}
+
+  /** An order ended, or its outcome will never be known. */
+  record OrderEnded(UpstreamName engine, long orderNumber, OrderOutcome outcome)
+      implements EngineEvent {}
+
+  /** Time has passed; carries a random number for jitter. */
+  record Tick(long randomNumber) implements EngineEvent {}
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipTransition.java
@@ -0,0 +1,203 @@
+package org.parsleyhead.core.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.api.Transition;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.ticket.UpstreamItem;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The ownership duty: gives pins on the engines that this host owns, loads and evicts adapters
+ * there, and gives transfer permits if this host keeps the allowance.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class OwnershipTransition
+    implements Transition<OwnershipState, EngineEvent, EngineEffect> {
+
+  private final OwnershipSettings settings;
+  private final PinDesk pins;
+  private final EngineOrders orders;
+
+  /** Creates the transition with its settings and the choice of victims. */
+  public OwnershipTransition(OwnershipSettings settings, VictimChoice victims) {
+    this.settings = Preconditions.requireNonNull(settings, "settings");
+    OwnershipRights rights = new OwnershipRights(settings);
+    this.pins = new PinDesk(settings, rights);
+    this.orders = new EngineOrders(settings, rights, pins, victims);
+  }
+
+  @Override
+  public Step<OwnershipState, EngineEffect> apply(
+      OwnershipState state, EngineEvent event, MonotonicTime time) {
+    if (event instanceof EngineEvent.StandingChanged changed) {
+      return changeStanding(state, changed.standing(), time);
+    }
+    if (event instanceof EngineEvent.UpstreamsChanged changed) {
+      return changeUpstreams(state, changed.upstreams(), time);
+    }
+    if (event instanceof EngineEvent.MessageReceived received) {
+      return receive(state, received, time);
+    }
+    if (event instanceof EngineEvent.Reported reported) {
+      return report(state, reported.report(), time);
+    }
+    if (event instanceof EngineEvent.ReadFailed failed) {
+      OwnedEngine engine = state.owned().get(failed.engine());
+      return Step.of(
+          engine == null ? state : state.with(engine.withOrders(engine.orders().readEnded())));
+    }
+    if (event instanceof EngineEvent.OrderEnded ended) {
+      return orders.end(state, ended, time);
+    }
+    return tick(state, ((EngineEvent.Tick) event).randomNumber(), time);
+  }
+
+  private Step<OwnershipState, EngineEffect> changeStanding(
+      OwnershipState state, Standing standing, MonotonicTime time) {
+    boolean sameMembers = standing.members().equals(state.standing().members());
+    OwnershipState changed = state.withStanding(standing);
+    Step<OwnershipState, EngineEffect> step =
+        sameMembers ? Step.of(changed) : assign(changed, time);
+    return new Step<>(observe(step.state(), time), step.effects());
+  }
+
+  private Step<OwnershipState, EngineEffect> changeUpstreams(
+      OwnershipState state, List<UpstreamItem> upstreams, MonotonicTime time) {
+    PMap<UpstreamName, UpstreamItem> engines = HashTreePMap.empty();
+    for (UpstreamItem item : upstreams) {
+      if (item.engine().isPresent()) {
+        engines = engines.plus(item.name(), item);
+      }
+    }
+    return assign(state.withEngines(engines), time);
+  }
+
+  /** Takes over the engines that the list gives to this host, and drops all others. */
+  private Step<OwnershipState, EngineEffect> assign(OwnershipState state, MonotonicTime time) {
+    PMap<UpstreamName, OwnedEngine> owned = HashTreePMap.empty();
+    for (UpstreamItem item : state.engines().values()) {
+      if (Acquisition.belongsToSelf(state.standing(), item.name().text())) {
+        owned = owned.plus(item.name(), own(state, item, time));
+      }
+    }
+    List<EngineEffect> effects = new ArrayList<>();
+    for (OwnedEngine former : state.owned().values()) {
+      if (!owned.containsKey(former.name())) {
+        effects.addAll(orders.returnPermit(former));
+      }
+    }
+    return state.withOwned(owned).step(effects);
+  }
+
+  private static OwnedEngine own(OwnershipState state, UpstreamItem item, MonotonicTime time) {
+    OwnedEngine known = state.owned().get(item.name());
+    if (known != null) {
+      return known.withItem(item);
+    }
+    Acquisition acquisition =
+        Acquisition.begin(state.standing(), item.name().text(), time)
+            .observe(state.standing(), time);
+    return OwnedEngine.acquired(item, acquisition);
+  }
+
+  private static OwnershipState observe(OwnershipState state, MonotonicTime time) {
+    Standing standing = state.standing();
+    OwnershipState observed = state.withKeeper(state.keeper().observe(standing, time));
+    for (OwnedEngine engine : state.owned().values()) {
+      observed =
+          observed.with(engine.withAcquisition(engine.acquisition().observe(standing, time)));
+    }
+    return observed;
+  }
+
+  private Step<OwnershipState, EngineEffect> receive(
+      OwnershipState state, EngineEvent.MessageReceived received, MonotonicTime time) {
+    Sender sender = received.sender();
+    if (received.message() instanceof PinRequest request) {
+      return pins.request(state, sender, request, time)
+          .andThen(next -> orders.advance(next, request.engine(), time));
+    }
+    if (received.message() instanceof PinRelease release) {
+      return pins.release(state, sender, release, time)
+          .andThen(next -> orders.advance(next, release.engine(), time));
+    }
+    if (received.message() instanceof PermitRequest request) {
+      return grantPermits(state.withKeeper(state.keeper().request(sender, request, time)), time);
+    }
+    if (received.message() instanceof PermitReturn returned) {
+      return grantPermits(state.withKeeper(state.keeper().giveBack(sender, returned)), time);
+    }
+    if (received.message() instanceof PermitGrant grant) {
+      return orders.permitted(state, sender.host(), grant, time);
+    }
+    return Step.of(state);
+  }
+
+  private Step<OwnershipState, EngineEffect> report(
+      OwnershipState state, EngineReport report, MonotonicTime time) {
+    OwnedEngine engine = state.owned().get(report.engine());
+    if (engine == null) {
+      return Step.of(state);
+    }
+    OwnedEngine read =
+        engine
+            .withResidency(
+                engine
+                    .residency()
+                    .read(report, engine.orders().pending().map(OrderBook.Order::adapter)))
+            .withOrders(engine.orders().read(report.readStarted()));
+    EngineHint hint =
+        new EngineHint(
+            report.engine(),
+            report.running(),
+            report.waiting(),
+            read.residency().resident(),
+            time.since(report.readStarted()));
+    List<EngineEffect> hints = new ArrayList<>();
+    for (HostName listener : read.listeners().keySet()) {
+      hints.add(new EngineEffect.Send(listener, hint));
+    }
+    return state
+        .with(read)
+        .step(hints)
+        .andThen(next -> pins.answerWaiters(next, report.engine(), time))
+        .andThen(next -> orders.advance(next, report.engine(), time));
+  }
+
+  private Step<OwnershipState, EngineEffect> tick(
+      OwnershipState state, long randomNumber, MonotonicTime time) {
+    Step<OwnershipState, EngineEffect> step = grantPermits(observe(state, time), time);
+    for (UpstreamName engine : state.owned().keySet()) {
+      step =
+          step.andThen(next -> Step.of(pins.expire(next, engine, time)))
+              .andThen(next -> orders.expire(next, engine, randomNumber, time))
+              .andThen(next -> pins.answerWaiters(next, engine, time))
+              .andThen(next -> orders.advance(next, engine, time));
+    }
+    return step;
+  }
+
+  private Step<OwnershipState, EngineEffect> grantPermits(
+      OwnershipState state, MonotonicTime time) {
+    PermitKeeper.Outcome outcome = state.keeper().grant(state.standing(), settings, time);
+    List<EngineEffect> grants = new ArrayList<>();
+    for (PermitKeeper.Granted granted : outcome.granted()) {
+      Sender holder = granted.key().sender();
+      grants.add(
+          new EngineEffect.Send(
+              holder.host(),
+              new PermitGrant(
+                  holder.incarnation(), granted.key().number(), settings.permitStartWindow())));
+    }
+    return state.withKeeper(outcome.keeper()).step(grants);
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/AdapterView.java
@@ -0,0 +1,64 @@
+package org.parsleyhead.core.scheduling;
+
+import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.UpstreamName;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePMap;
+
+/**
+ * The waiting requests of one adapter and the engines where they may go.
+ *
+ * <p>Immutable and thread-safe. Exists only while requests wait or run or a pin is held.
+ *
+ * @param queue the waiting requests in the order of service
+ * @param placements the engines with a pin, a pin request or running requests
+ * @param waitingSince since when the queue has not been empty
+ */
+record AdapterView(
+    TreePMap<QueueKey, WaitingRequest> queue,
+    PMap<UpstreamName, Placement> placements,
+    MonotonicTime waitingSince) {
+
+  /** How many requests are looked at for one that does not exclude the engine. */
+  private static final int LOOK_AHEAD = 8;
+
+  static AdapterView empty(MonotonicTime time) {
+    return new AdapterView(TreePMap.empty(), HashTreePMap.empty(), time);
+  }
+
+  AdapterView enqueue(WaitingRequest waiting) {
+    MonotonicTime since = queue.isEmpty() ? waiting.arrived() : waitingSince;
+    return new AdapterView(queue.plus(waiting.key(), waiting), placements, since);
+  }
+
+  AdapterView dequeue(QueueKey key) {
+    return new AdapterView(queue.minus(key), placements, waitingSince);
+  }
+
+  AdapterView with(UpstreamName engine, Placement placement) {
+    return new AdapterView(queue, placements.plus(engine, placement), waitingSince);
+  }
+
+  AdapterView without(UpstreamName engine) {
+    return new AdapterView(queue, placements.minus(engine), waitingSince);
+  }
+
+  Placement placement(UpstreamName engine, MonotonicTime time) {
+    Placement known = placements.get(engine);
+    return known == null ? Placement.none(time) : known;
+  }
+
+  /** Returns the first request that may go to an engine. */
+  Optional<WaitingRequest> firstFor(UpstreamName engine) {
+    return queue.values().stream()
+        .limit(LOOK_AHEAD)
+        .filter(waiting -> !waiting.request().excluded().contains(engine))
+        .findFirst();
+  }
+
+  boolean isForgettable() {
+    return queue.isEmpty() && placements.isEmpty();
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingPolicy.java
@@ -0,0 +1,164 @@
+package org.parsleyhead.core.scheduling;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.Rendezvous;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.engine.VictimChoice;
+import org.parsleyhead.core.ticket.Priority;
+
+/**
+ * The parts of scheduling that vary.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param queueOrder the order of requests
+ * @param engineChoice the choice among engines that hold the adapter
+ * @param placementOrder the order of engines to load an adapter on
+ * @param maximumCopies on how many engines an adapter may be used at a time
+ * @param victimChoice the choice of the adapter to evict
+ */
+public record SchedulingPolicy(
+    QueueOrder queueOrder,
+    EngineChoice engineChoice,
+    PlacementOrder placementOrder,
+    int maximumCopies,
+    VictimChoice victimChoice) {
+
+  /** The name of the policy that is used if none is given. */
+  public static final String ADAPTIVE = "adaptive";
+
+  /** The name of the first baseline. */
+  public static final String FIRST_COME_FIRST_SERVED = "first_come_first_served";
+
+  /** The name of the second baseline. */
+  public static final String LEAST_OUTSTANDING = "least_outstanding";
+
+  /** The name of the third baseline. */
+  public static final String CONSISTENT_HASHING = "consistent_hashing";
+
+  private static final double FULL_LOAD = 1;
+
+  /**
+   * Returns a policy by its name in the settings.
+   *
+   * @throws org.parsleyhead.core.api.InvalidValueException if there is none of that name
+   */
+  public static SchedulingPolicy named(String name, SchedulingSettings settings) {
+    SchedulingPolicy policy =
+        Map.of(
+                ADAPTIVE, adaptive(settings),
+                FIRST_COME_FIRST_SERVED, firstComeFirstServed(),
+                LEAST_OUTSTANDING, leastOutstanding(),
+                CONSISTENT_HASHING, consistentHashing())
+            .get(name);
+    Preconditions.require(policy != null, "policy", "must be a known policy");
+    return policy;
+  }
+
+  /**
+   * Fair shares between client accounts; adapters spread over engines by demand; eviction by
+   * expected reuse.
+   */
+  public static SchedulingPolicy adaptive(SchedulingSettings settings) {
+    return new SchedulingPolicy(
+        fairOrder(settings.batchHandicap()),
+        concentrate(settings.spreadLoad()),
+        firstWithRoom(),
+        Integer.MAX_VALUE,
+        VictimChoice.leastExpectedReuse());
+  }
+
+  /** Serves in the order of arrival on any engine and evicts what was used longest ago. */
+  public static SchedulingPolicy firstComeFirstServed() {
+    return new SchedulingPolicy(
+        (startTag, priority, sequence) -> sequence,
+        twoRandomChoices(Comparator.comparingDouble(EngineChoice.Candidate::load)),
+        (adapter, engines) -> rendezvous(adapter, engines),
+        Integer.MAX_VALUE,
+        VictimChoice.leastRecentlyUsed());
+  }
+
+  /** Serves in the order of arrival on the engine with the fewest requests of this host. */
+  public static SchedulingPolicy leastOutstanding() {
+    Comparator<EngineChoice.Candidate> byOutstanding =
+        Comparator.comparingInt(EngineChoice.Candidate::outstanding)
+            .thenComparing(EngineChoice.Candidate::name);
+    return new SchedulingPolicy(
+        (startTag, priority, sequence) -> sequence,
+        (candidates, prefixHolder, randomNumber) ->
+            candidates.stream().min(byOutstanding).orElseThrow(),
+        (adapter, engines) -> engines.stream().sorted(byOutstanding).toList(),
+        Integer.MAX_VALUE,
+        VictimChoice.leastRecentlyUsed());
+  }
+
+  /** Serves each adapter on the one engine that consistent hashing gives it. */
+  public static SchedulingPolicy consistentHashing() {
+    return new SchedulingPolicy(
+        (startTag, priority, sequence) -> sequence,
+        (candidates, prefixHolder, randomNumber) -> candidates.get(0),
+        (adapter, engines) -> rendezvous(adapter, engines).stream().limit(1).toList(),
+        1,
+        VictimChoice.leastRecentlyUsed());
+  }
+
+  private static QueueOrder fairOrder(Duration batchHandicap) {
+    double handicap = batchHandicap.toNanos() / 1e9;
+    return (startTag, priority, sequence) -> startTag + (priority == Priority.BATCH ? handicap : 0);
+  }
+
+  /**
+   * Uses the engine with the prompt prefix, then the first copy that is not heavily loaded, so that
+   * copies that are no longer needed fall idle; else the better of two random ones.
+   */
+  private static EngineChoice concentrate(double spreadLoad) {
+    EngineChoice spread =
+        twoRandomChoices(Comparator.comparingDouble(EngineChoice.Candidate::load));
+    return (candidates, prefixHolder, randomNumber) -> {
+      Optional<EngineChoice.Candidate> holder =
+          candidates.stream()
+              .filter(candidate -> prefixHolder.equals(Optional.of(candidate.name())))
+              .findFirst();
+      Optional<EngineChoice.Candidate> first =
+          candidates.stream().filter(candidate -> candidate.load() < spreadLoad).findFirst();
+      return holder
+          .or(() -> first)
+          .orElseGet(() -> spread.choose(candidates, prefixHolder, randomNumber));
+    };
+  }
+
+  private static EngineChoice twoRandomChoices(Comparator<EngineChoice.Candidate> better) {
+    return (candidates, prefixHolder, randomNumber) -> {
+      int count = candidates.size();
+      int one = (int) Math.floorMod(randomNumber, (long) count);
+      int step = count == 1 ? 0 : 1 + (int) Math.floorMod(randomNumber >>> 32, (long) count - 1);
+      EngineChoice.Candidate first = candidates.get(one);
+      EngineChoice.Candidate second = candidates.get((one + step) % count);
+      return better.compare(first, second) <= 0 ? first : second;
+    };
+  }
+
+  /** The rendezvous order, engines without room behind all others. */
+  private static PlacementOrder firstWithRoom() {
+    return (adapter, engines) ->
+        rendezvous(adapter, engines).stream()
+            .sorted(Comparator.comparing(engine -> engine.load() >= FULL_LOAD))
+            .toList();
+  }
+
+  private static List<EngineChoice.Candidate> rendezvous(
+      AdapterReference adapter, List<EngineChoice.Candidate> engines) {
+    Map<UpstreamName, EngineChoice.Candidate> byName =
+        engines.stream()
+            .collect(Collectors.toMap(EngineChoice.Candidate::name, Function.identity()));
+    return Rendezvous.order(adapter.text(), byName.keySet()).stream().map(byName::get).toList();
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingTransition.java
@@ -0,0 +1,245 @@
+package org.parsleyhead.core.scheduling;
+
+import java.util.List;
+import java.util.Map;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.api.Transition;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.engine.EngineHint;
+import org.parsleyhead.core.engine.PinGrant;
+import org.parsleyhead.core.engine.PinRecall;
+import org.parsleyhead.core.engine.PinRefusal;
+import org.parsleyhead.core.ticket.UpstreamItem;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The scheduling duty: queues model requests, gets pins for their adapters, and dispatches them.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class SchedulingTransition
+    implements Transition<SchedulingState, SchedulingEvent, SchedulingEffect> {
+
+  private final SchedulingSettings settings;
+  private final RequestQueues queues;
+  private final Dispatcher dispatcher;
+  private final PinClient pins;
+
+  /** Creates the transition with its settings and the parts that vary. */
+  public SchedulingTransition(SchedulingSettings settings, SchedulingPolicy policy) {
+    this.settings = Preconditions.requireNonNull(settings, "settings");
+    this.queues = new RequestQueues(policy);
+    this.dispatcher = new Dispatcher(settings, policy);
+    this.pins = new PinClient(settings, new PlacementChoice(settings, policy));
+  }
+
+  @Override
+  public Step<SchedulingState, SchedulingEffect> apply(
+      SchedulingState former, SchedulingEvent event, MonotonicTime time) {
+    SchedulingState state = former.observe(time);
+    if (event instanceof SchedulingEvent.Submitted submitted) {
+      return submit(state, submitted.request(), time);
+    }
+    if (event instanceof SchedulingEvent.Finished finished) {
+      return finish(state, finished, time);
+    }
+    if (event instanceof SchedulingEvent.Cancelled cancelled) {
+      return cancel(state, cancelled.identifier(), time);
+    }
+    if (event instanceof SchedulingEvent.MessageReceived received) {
+      return receive(state, received, time);
+    }
+    if (event instanceof SchedulingEvent.StandingChanged changed) {
+      return Step.of(state.withStanding(changed.standing()));
+    }
+    if (event instanceof SchedulingEvent.UpstreamsChanged changed) {
+      return changeUpstreams(state, changed.upstreams(), time);
+    }
+    if (event instanceof SchedulingEvent.UpstreamFailed failed) {
+      return fail(state, failed.upstream(), time);
+    }
+    return tick(state, time);
+  }
+
+  private Step<SchedulingState, SchedulingEffect> submit(
+      SchedulingState state, ModelRequest request, MonotonicTime time) {
+    return queues
+        .submit(state, request, time)
+        .andThen(next -> serve(next, request.adapter(), time));
+  }
+
+  private Step<SchedulingState, SchedulingEffect> serve(
+      SchedulingState state, AdapterReference adapter, MonotonicTime time) {
+    return dispatcher.place(state, adapter, time).andThen(next -> pins.ask(next, adapter, time));
+  }
+
+  private Step<SchedulingState, SchedulingEffect> finish(
+      SchedulingState state, SchedulingEvent.Finished finished, MonotonicTime time) {
+    RunningRequest running = state.running().get(finished.identifier());
+    if (running == null) {
+      return Step.of(state);
+    }
+    UpstreamName upstream = running.upstream();
+    AdapterReference adapter = running.request().adapter();
+    AdapterView view = state.adapter(adapter, time);
+    EngineView engine = state.engines().get(upstream);
+    Placement ended = view.placement(upstream, time).ended(time);
+    SchedulingState next =
+        state
+            .withRunning(state.running().minus(finished.identifier()))
+            .with(adapter, view.with(upstream, ended));
+    next = engine == null ? next : next.with(engine.ended(time));
+    next = countService(next, running.request(), finished);
+    boolean missing = finished.outcome() == RequestOutcome.ADAPTER_MISSING;
+    Step<SchedulingState, SchedulingEffect> step =
+        missing ? pins.release(next, upstream, adapter, time, time) : Step.of(next);
+    return step.andThen(current -> dispatcher.fill(current, upstream, time))
+        .andThen(current -> pins.ask(current, adapter, time));
+  }
+
+  private static SchedulingState countService(
+      SchedulingState state, ModelRequest request, SchedulingEvent.Finished finished) {
+    boolean counted = state.isSaturated() && finished.outcome() == RequestOutcome.COMPLETED;
+    return counted ? state.withThroughput(state.throughput().served(request.cost())) : state;
+  }
+
+  private Step<SchedulingState, SchedulingEffect> cancel(
+      SchedulingState state, RequestIdentifier identifier, MonotonicTime time) {
+    WaitingRequest waiting = state.waiting().get(identifier);
+    return waiting == null
+        ? finish(state, new SchedulingEvent.Finished(identifier, RequestOutcome.ABANDONED, 0), time)
+        : Step.of(queues.remove(state, waiting, time));
+  }
+
+  private Step<SchedulingState, SchedulingEffect> receive(
+      SchedulingState state, SchedulingEvent.MessageReceived received, MonotonicTime time) {
+    if (received.message() instanceof PinGrant grant) {
+      return pins.granted(state, received.sender().host(), grant, time)
+          .andThen(next -> placeAll(next, grant.adapters(), time));
+    }
+    if (received.message() instanceof PinRefusal refusal) {
+      return pins.ask(pins.refused(state, refusal, time), refusal.adapter(), time);
+    }
+    if (received.message() instanceof PinRecall recall) {
+      return pins.recalled(state, recall, time)
+          .andThen(next -> pins.ask(next, recall.adapter(), time));
+    }
+    if (received.message() instanceof EngineHint hint) {
+      return hear(state, hint, time);
+    }
+    return Step.of(state);
+  }
+
+  private Step<SchedulingState, SchedulingEffect> placeAll(
+      SchedulingState state, List<AdapterReference> adapters, MonotonicTime time) {
+    Step<SchedulingState, SchedulingEffect> step = Step.of(state);
+    for (AdapterReference adapter : adapters) {
+      step = step.andThen(next -> serve(next, adapter, time));
+    }
+    return step;
+  }
+
+  private Step<SchedulingState, SchedulingEffect> hear(
+      SchedulingState state, EngineHint hint, MonotonicTime time) {
+    EngineView engine = state.engines().get(hint.engine());
+    if (engine == null) {
+      return Step.of(state);
+    }
+    EngineView.LoadReport report =
+        new EngineView.LoadReport(
+            hint.running(), hint.waiting(), engine.outstanding(), time.minus(hint.age()));
+    return dispatcher.fill(
+        state.with(engine.withReport(report, hint.resident())), hint.engine(), time);
+  }
+
+  private Step<SchedulingState, SchedulingEffect> changeUpstreams(
+      SchedulingState state, List<UpstreamItem> upstreams, MonotonicTime time) {
+    PMap<UpstreamName, EngineView> engines = HashTreePMap.empty();
+    for (UpstreamItem item : upstreams) {
+      if (item.engine().isPresent()) {
+        EngineView known = state.engines().get(item.name());
+        engines =
+            engines.plus(
+                item.name(), known == null ? EngineView.unknown(item, time) : known.withItem(item));
+      }
+    }
+    Step<SchedulingState, SchedulingEffect> step = Step.of(state);
+    for (UpstreamName former : state.engines().keySet()) {
+      if (!engines.containsKey(former)) {
+        step = step.andThen(next -> releaseAll(next, former, time));
+      }
+    }
+    PMap<UpstreamName, EngineView> updated = engines;
+    return step.andThen(next -> Step.of(next.withEngines(retainReady(next, updated))))
+        .andThen(next -> serveAll(next, time));
+  }
+
+  private static PMap<UpstreamName, EngineView> retainReady(
+      SchedulingState state, PMap<UpstreamName, EngineView> engines) {
+    PMap<UpstreamName, EngineView> retained = engines;
+    for (EngineView engine : engines.values()) {
+      EngineView known = state.engines().get(engine.name());
+      if (known != null) {
+        retained = retained.plus(engine.name(), engine.withReady(known.ready()));
+      }
+    }
+    return retained;
+  }
+
+  private Step<SchedulingState, SchedulingEffect> fail(
+      SchedulingState state, UpstreamName upstream, MonotonicTime time) {
+    EngineView engine = state.engines().get(upstream);
+    if (engine == null) {
+      return Step.of(state);
+    }
+    return releaseAll(state, upstream, time)
+        .andThen(
+            next ->
+                Step.of(
+                    next.with(
+                        next.engines().get(upstream).failed(time.plus(settings.failureBackoff())))))
+        .andThen(next -> serveAll(next, time));
+  }
+
+  private Step<SchedulingState, SchedulingEffect> releaseAll(
+      SchedulingState state, UpstreamName upstream, MonotonicTime time) {
+    Step<SchedulingState, SchedulingEffect> step = Step.of(state);
+    for (Map.Entry<AdapterReference, AdapterView> entry : state.adapters().entrySet()) {
+      if (entry.getValue().placements().containsKey(upstream)) {
+        step =
+            step.andThen(
+                next ->
+                    pins.release(
+                        next,
+                        upstream,
+                        entry.getKey(),
+                        time.plus(settings.failureBackoff()),
+                        time));
+      }
+    }
+    return step;
+  }
+
+  private Step<SchedulingState, SchedulingEffect> serveAll(
+      SchedulingState state, MonotonicTime time) {
+    Step<SchedulingState, SchedulingEffect> step = Step.of(state);
+    for (Map.Entry<AdapterReference, AdapterView> entry : state.adapters().entrySet()) {
+      if (!entry.getValue().queue().isEmpty()) {
+        step = step.andThen(next -> serve(next, entry.getKey(), time));
+      }
+    }
+    return step;
+  }
+
+  private Step<SchedulingState, SchedulingEffect> tick(SchedulingState state, MonotonicTime time) {
+    return queues
+        .expire(state, time)
+        .andThen(next -> pins.maintain(next, time))
+        .andThen(next -> serveAll(next, time));
+  }
+}
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Queues of model requests and their dispatch to engines. */
+package org.parsleyhead.core.scheduling;
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/FakeFleet.java
@@ -0,0 +1,310 @@
+package org.parsleyhead.core.engine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.scheduling.ModelRequest;
+import org.parsleyhead.core.scheduling.RequestOutcome;
+import org.parsleyhead.core.scheduling.SchedulingEffect;
+import org.parsleyhead.core.scheduling.SchedulingEvent;
+import org.parsleyhead.core.scheduling.SchedulingPolicy;
+import org.parsleyhead.core.scheduling.SchedulingSettings;
+import org.parsleyhead.core.scheduling.SchedulingTransition;
+import org.parsleyhead.core.ticket.UpstreamItem;
+
+/** Entry hosts, engines and a weight store on a fake clock and a fake network. Not thread-safe. */
+public final class FakeFleet {
+
+  private static final double TICK_MILLISECONDS = 100;
+  private static final double ATTESTATION_INTERVAL_MILLISECONDS = 1000;
+  private static final double LARGEST_LIST_LAG_MILLISECONDS = 2000;
+
+  private final FakeTimeline timeline;
+  private final FakeWeightStore store;
+  private final OwnershipSettings ownershipSettings;
+  private final FakeFleetLedger ledger = new FakeFleetLedger();
+  private final Map<HostName, FakeHost> hosts = new TreeMap<>();
+  private final Map<UpstreamName, FakeEngine> engines = new LinkedHashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final Map<String, ModelRequest> requests = new HashMap<>();
+  private double lossProbability;
+  private double slowOrderProbability;
+  private long listVersion;
+
+  /** Creates a fleet that has not yet been started. */
+  public FakeFleet(long seed, OwnershipSettings settings, SchedulingPolicy policy, int hostCount) {
+    this.timeline = new FakeTimeline(seed);
+    this.ownershipSettings = settings;
+    this.store = new FakeWeightStore(timeline, settings.maximumTransfers());
+    OwnershipTransition ownership = new OwnershipTransition(settings, policy.victimChoice());
+    SchedulingTransition scheduling =
+        new SchedulingTransition(SchedulingSettings.defaults(), policy);
+    for (int number = 0; number < hostCount; number++) {
+      HostName name = new HostName("host-" + number);
+      long offset = timeline.random().nextLong(1L << 40);
+      double rate = 1 + (timeline.random().nextDouble() - 0.5) / 1000;
+      FakeHost host = new FakeHost(this, name, offset, rate, ownership, scheduling);
+      hosts.put(name, host);
+    }
+  }
+
+  /** Adds engines with equal properties. */
+  public void addEngines(int count, int slots, int maximumBatch, boolean checksFencing) {
+    for (int number = 0; number < count; number++) {
+      String name = "engine-" + engines.size();
+      FakeEngine engine = new FakeEngine(timeline, store, name, slots, maximumBatch, checksFencing);
+      engines.put(engine.item().name(), engine);
+    }
+  }
+
+  /** Publishes the first list and starts all repeated work. */
+  public void start() {
+    for (FakeHost host : hosts.values()) {
+      host.engine(new EngineEvent.UpstreamsChanged(upstreams()));
+      host.schedule(new SchedulingEvent.UpstreamsChanged(upstreams()));
+      timeline.every(TICK_MILLISECONDS, () -> whenAwake(host, host::tick));
+      timeline.every(
+          ATTESTATION_INTERVAL_MILLISECONDS,
+          () -> whenAwake(host, () -> requestAttestations(host)));
+    }
+    publish(hosts.keySet());
+  }
+
+  /** Publishes a list; each host reads it after a lag of its own. */
+  public void publish(Set<HostName> listed) {
+    long version = ++listVersion;
+    SortedSet<HostName> copy = new TreeSet<>(listed);
+    for (FakeHost host : hosts.values()) {
+      double lag = timeline.random().nextDouble() * LARGEST_LIST_LAG_MILLISECONDS;
+      timeline.after(lag, () -> deliverList(host, version, copy));
+    }
+  }
+
+  private void deliverList(FakeHost host, long version, SortedSet<HostName> listed) {
+    whenAwake(host, () -> host.readList(version, listed));
+  }
+
+  /** Cuts or heals the way from one host to another. */
+  public void cut(HostName from, HostName to, boolean isCut) {
+    String way = from + ">" + to;
+    if (isCut) {
+      cuts.add(way);
+    } else {
+      cuts.remove(way);
+    }
+  }
+
+  /** Loses messages between hosts, and delays or forgets answers to orders. */
+  public void disturb(double loss, double slowOrders) {
+    lossProbability = loss;
+    slowOrderProbability = slowOrders;
+  }
+
+  /** Restarts the process of a host; it reads the last list again. */
+  public void restart(HostName name, Set<HostName> listed) {
+    FakeHost host = hosts.get(name);
+    ledger.forget(name);
+    host.restart();
+    long version = listVersion;
+    timeline.after(50, () -> deliverList(host, version, new TreeSet<>(listed)));
+  }
+
+  /** Submits a request to a host. */
+  public void submit(HostName name, ModelRequest request) {
+    FakeHost host = hosts.get(name);
+    requests.put(request.identifier().text(), request);
+    ledger.submitted(name, request, timeline.seconds(), isResidentSomewhere(request));
+    whenAwake(host, () -> host.schedule(new SchedulingEvent.Submitted(request)));
+  }
+
+  private boolean isResidentSomewhere(ModelRequest request) {
+    return engines.values().stream()
+        .anyMatch(engine -> engine.resident().contains(request.adapter()));
+  }
+
+  void carryOut(FakeHost host, SchedulingEffect effect) {
+    if (effect instanceof SchedulingEffect.Send send) {
+      send(host, send.host(), send.message());
+    } else if (effect instanceof SchedulingEffect.Refuse refuse) {
+      ledger.refused(refuse.identifier().text(), timeline.seconds());
+    } else if (effect instanceof SchedulingEffect.Dispatch dispatch) {
+      dispatch(host, dispatch);
+    }
+  }
+
+  void carryOut(FakeHost host, EngineEffect effect) {
+    if (effect instanceof EngineEffect.Send send) {
+      send(host, send.host(), send.message());
+      return;
+    }
+    Incarnation run = host.incarnation();
+    if (effect instanceof EngineEffect.ReadEngine read) {
+      MonotonicTime readStarted = host.now();
+      timeline.after(
+          latency(),
+          () -> {
+            EngineReport report = engines.get(read.engine()).report(readStarted);
+            answer(host, run, () -> host.engine(new EngineEvent.Reported(report)));
+          });
+    } else if (effect instanceof EngineEffect.LoadAdapter load) {
+      order(
+          answer -> engines.get(load.engine()).load(load.adapter(), load.fencingNumber(), answer),
+          outcome -> orderEnded(host, run, load.engine(), load.orderNumber(), outcome));
+    } else if (effect instanceof EngineEffect.UnloadAdapter unload) {
+      order(
+          answer ->
+              engines.get(unload.engine()).unload(unload.adapter(), unload.fencingNumber(), answer),
+          outcome -> orderEnded(host, run, unload.engine(), unload.orderNumber(), outcome));
+    }
+  }
+
+  private void order(Consumer<Consumer<OrderOutcome>> order, Consumer<OrderOutcome> answered) {
+    boolean slow = timeline.chance(slowOrderProbability);
+    double most = ownershipSettings.orderLifetime().toMillis();
+    double delay = slow ? timeline.random().nextDouble() * most : latency();
+    boolean forgotten = timeline.chance(slowOrderProbability);
+    timeline.after(
+        delay, () -> order.accept(outcome -> answered.accept(forgotten ? null : outcome)));
+  }
+
+  private void orderEnded(
+      FakeHost host, Incarnation run, UpstreamName engine, long number, OrderOutcome outcome) {
+    if (outcome != null) {
+      answer(host, run, () -> host.engine(new EngineEvent.OrderEnded(engine, number, outcome)));
+    }
+  }
+
+  private void dispatch(FakeHost host, SchedulingEffect.Dispatch dispatch) {
+    Incarnation run = host.incarnation();
+    ModelRequest request = dispatch.request();
+    ledger.dispatched(request, timeline.seconds());
+    timeline.after(
+        latency(),
+        () ->
+            engines
+                .get(dispatch.upstream())
+                .serve(request, outcome -> answer(host, run, () -> ended(host, request, outcome))));
+  }
+
+  private void ended(FakeHost host, ModelRequest request, RequestOutcome outcome) {
+    host.schedule(
+        new SchedulingEvent.Finished(
+            request.identifier(), outcome, request.expectedOutputTokens()));
+    if (outcome == RequestOutcome.COMPLETED) {
+      ledger.completed(request, timeline.seconds());
+    } else {
+      host.schedule(new SchedulingEvent.Submitted(request));
+    }
+  }
+
+  private void requestAttestations(FakeHost host) {
+    Incarnation run = host.incarnation();
+    MonotonicTime requested = host.now();
+    for (HostName other : host.members()) {
+      if (other.equals(host.name())) {
+        continue;
+      }
+      deliver(
+          host.name(),
+          other,
+          () -> {
+            long version = hosts.get(other).attestTo(host.name());
+            deliver(
+                other,
+                host.name(),
+                () -> whenSame(host, run, () -> host.attested(other, version, requested)));
+          });
+    }
+  }
+
+  private void send(FakeHost from, HostName to, PeerMessage message) {
+    Sender sender = new Sender(from.name(), from.incarnation());
+    if (from.name().equals(to)) {
+      Incarnation run = from.incarnation();
+      timeline.after(0, () -> from.whenAwake(run, () -> from.receive(sender, message)));
+      return;
+    }
+    ledger.sent(message);
+    deliver(from.name(), to, () -> hosts.get(to).receive(sender, message));
+  }
+
+  private void deliver(HostName from, HostName to, Runnable action) {
+    if (cuts.contains(from + ">" + to) || timeline.chance(lossProbability)) {
+      return;
+    }
+    FakeHost receiver = hosts.get(to);
+    timeline.after(latency(), () -> whenAwake(receiver, action));
+  }
+
+  private void answer(FakeHost host, Incarnation run, Runnable action) {
+    timeline.after(latency(), () -> whenSame(host, run, action));
+  }
+
+  private void whenSame(FakeHost host, Incarnation run, Runnable action) {
+    host.whenAwake(run, action);
+  }
+
+  private void whenAwake(FakeHost host, Runnable action) {
+    host.whenAwake(host.incarnation(), action);
+  }
+
+  private double latency() {
+    boolean slow = timeline.chance(0.02);
+    return 1 + timeline.random().nextDouble() * (slow ? 200 : 4);
+  }
+
+  FakeTimeline timeline() {
+    return timeline;
+  }
+
+  OwnershipSettings ownershipSettings() {
+    return ownershipSettings;
+  }
+
+  List<UpstreamItem> upstreams() {
+    return engines.values().stream().map(FakeEngine::item).toList();
+  }
+
+  FakeHost host(HostName name) {
+    return hosts.get(name);
+  }
+
+  /** Returns the names of all hosts. */
+  public List<HostName> hostNames() {
+    return new ArrayList<>(hosts.keySet());
+  }
+
+  /** Returns the engines. */
+  public List<FakeEngine> engines() {
+    return new ArrayList<>(engines.values());
+  }
+
+  /** Returns the weight store. */
+  public FakeWeightStore store() {
+    return store;
+  }
+
+  /** Returns what callers saw. */
+  public FakeFleetLedger ledger() {
+    return ledger;
+  }
+
+  /** Runs to a time in seconds. */
+  public void runUntil(double seconds) {
+    timeline.runUntil(seconds);
+  }
+}
