--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/idempotency/RepeatState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/idempotency/RepeatState.java
@@ -53,6 +53,11 @@
     return views.active().isPresent() && views.isCertain(time);
   }
 
+  /** Returns the version of the host list that decisions are taken under. */
+  public long listVersion() {
+    return views.standing().version();
+  }
+
   RepeatSettings settings() {
     return settings;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Attempts.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Attempts.java
@@ -42,7 +42,7 @@
     return new Attempts(
         count,
         Optional.empty(),
-        upstream.map(excluded::plus).orElse(excluded),
+        stage == FailureStage.TOO_LATE ? excluded : upstream.map(excluded::plus).orElse(excluded),
         mayHaveRun || !stage.certainlyNotRun(),
         answerStarted);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/FailureStage.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/FailureStage.java
@@ -2,7 +2,9 @@
 
 /** How far an attempt had come when it failed. */
 public enum FailureStage {
-  /** Nothing of the request was written to the upstream. */
+  /** The time until which it might be written had passed; nothing was written. */
+  TOO_LATE(true),
+  /** The upstream could not be reached; nothing of the request was written. */
   BEFORE_WRITE(true),
   /** The upstream itself refused the request before running it. */
   REFUSED_BY_UPSTREAM(true),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Progress.java
@@ -1,13 +1,19 @@
 package org.parsleyhead.core.request;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.ModelName;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.RequestIdentifier;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.scheduling.ModelRequest;
+import org.parsleyhead.core.ticket.AdapterItem;
+import org.parsleyhead.core.ticket.ClientAccountItem;
 import org.parsleyhead.core.ticket.Priority;
 
 /**
@@ -17,6 +23,12 @@
  */
 final class Progress {
 
+  /** Stands for callers without a key in the shares of client accounts. */
+  private static final ClientAccountName ANONYMOUS = new ClientAccountName("anonymous");
+
+  /** No engine serves it: the adapter was deleted after the request was received. */
+  private static final ModelName UNDECLARED = new ModelName("undeclared");
+
   private Progress() {}
 
   static Step<RequestState, RequestEffect> afterAdmission(
@@ -39,18 +51,31 @@
           new RequestEffect.SubmitPlainCall(
               identifier, request.route(), request.attempts().excluded()));
     }
+    return Step.of(next, new RequestEffect.SubmitModelCall(modelRequest(state, request, time)));
+  }
+
+  private static ModelRequest modelRequest(
+      RequestState state, ActiveRequest request, MonotonicTime time) {
     ModelCall call = request.description().modelCall().orElseThrow();
-    Duration remaining = request.deadline().since(time);
-    return Step.of(
-        next,
-        new RequestEffect.SubmitModelCall(
-            identifier,
-            request.adapter().orElseThrow(),
-            request.clientAccount(),
-            call,
-            priorityOf(request, call),
-            remaining,
-            request.attempts().excluded()));
+    AdapterReference adapter = request.adapter().orElseThrow();
+    long rate =
+        request
+            .clientAccount()
+            .flatMap(state.catalogue()::clientAccount)
+            .map(ClientAccountItem::tokensPerSecond)
+            .orElse(1L);
+    return new ModelRequest(
+        request.identifier(),
+        state.catalogue().adapter(adapter.adapter()).map(AdapterItem::baseModel).orElse(UNDECLARED),
+        adapter,
+        request.clientAccount().orElse(ANONYMOUS),
+        Math.max(1, rate),
+        priorityOf(request, call),
+        call.promptTokens(),
+        call.maximumTokens(),
+        OptionalLong.of(call.prefixHash()),
+        request.deadline().since(time),
+        request.attempts().excluded());
   }
 
   /** Ends a request that was not answered in full. */
@@ -61,14 +86,14 @@
             ? new Refusal(
                 refusal.code(), refusal.message(), ExecutionOutcome.UNKNOWN, Optional.empty())
             : refusal;
-    List<RequestEffect> effects = release(request, AttemptResult.CANCELLED, tokensPassed);
+    List<RequestEffect> effects = release(state, request, AttemptResult.CANCELLED, tokensPassed);
     effects.add(new RequestEffect.Refuse(request.identifier(), honest));
     return new Step<>(state.without(request.identifier()), effects);
   }
 
   /** Returns the effects that free what a request holds: attempt, queue place and reservation. */
   static List<RequestEffect> release(
-      ActiveRequest request, AttemptResult result, int tokensPassed) {
+      RequestState state, ActiveRequest request, AttemptResult result, int tokensPassed) {
     RequestIdentifier identifier = request.identifier();
     List<RequestEffect> effects = new ArrayList<>();
     if (request.phase() == ActiveRequest.Phase.RUNNING) {
@@ -82,9 +107,15 @@
     if (!request.route().idempotent() && !request.attempts().mayHaveRun()) {
       effects.add(new RequestEffect.ForgetRepeat(identifier));
     }
-    if (request.clientAccount().isPresent()) {
-      effects.add(new RequestEffect.Settle(identifier, usedTokens(request, tokensPassed)));
-    }
+    request
+        .clientAccount()
+        .ifPresent(
+            account ->
+                effects.add(
+                    request.attempts().mayHaveRun()
+                        ? new RequestEffect.Settle(
+                            identifier, account, usedTokens(state, request, tokensPassed))
+                        : new RequestEffect.Release(identifier, account)));
     return effects;
   }
 
@@ -95,20 +126,14 @@
   }
 
   /** Returns an upper bound of the tokens that an unfinished request used. */
-  private static long usedTokens(ActiveRequest request, int tokensPassed) {
-    if (!request.attempts().mayHaveRun()) {
-      return 0;
+  private static long usedTokens(RequestState state, ActiveRequest request, int tokensPassed) {
+    if (!request.isModelCall()) {
+      return state.settings().plainCallTokens();
     }
-    return request
-        .description()
-        .modelCall()
-        .filter(call -> request.isModelCall())
-        .map(
-            call ->
-                request.isStreamed() && request.attempts().answerStarted()
-                    ? (long) call.promptTokens() + tokensPassed
-                    : call.totalTokens())
-        .orElse(Long.MAX_VALUE);
+    ModelCall call = request.description().modelCall().orElseThrow();
+    return request.isStreamed() && request.attempts().answerStarted()
+        ? (long) call.promptTokens() + tokensPassed
+        : call.totalTokens();
   }
 
   private static String repeatKey(ActiveRequest request) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Reception.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Reception.java
@@ -11,7 +11,6 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.ticket.AdapterItem;
-import org.parsleyhead.core.ticket.ItemKind;
 import org.parsleyhead.core.ticket.RouteItem;
 
 /**
@@ -36,7 +35,7 @@
               "this host has no room for another request",
               state.settings().decisionTimeout()));
     }
-    Optional<RouteItem> route = state.routes().find(description.path());
+    Optional<RouteItem> route = state.catalogue().route(description.path());
     if (route.isEmpty()) {
       return refuse(
           state, description, Refusal.notRun(RefusalCode.ROUTE_UNKNOWN, "no route has this path"));
@@ -122,10 +121,9 @@
 
   private static List<AdapterReference> modelsOf(
       RequestState state, Optional<ClientAccountName> account) {
-    return state.catalogue().items().entrySet().stream()
-        .filter(entry -> entry.getKey().kind() == ItemKind.ADAPTER)
-        .flatMap(entry -> entry.getValue().item().stream())
-        .map(AdapterItem.class::cast)
+    return state
+        .catalogue()
+        .adapters()
         .filter(mayUse(account))
         .map(Reception::references)
         .flatMap(Collection::stream)
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Recovery.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Recovery.java
@@ -64,8 +64,11 @@
   }
 
   private static AttemptResult resultOf(FailureStage stage) {
-    return stage == FailureStage.REFUSED_BY_UPSTREAM
-        ? AttemptResult.ADAPTER_ABSENT
-        : AttemptResult.FAILED;
+    return switch (stage) {
+      case TOO_LATE -> AttemptResult.TOO_LATE;
+      case BEFORE_WRITE -> AttemptResult.UNREACHABLE;
+      case REFUSED_BY_UPSTREAM -> AttemptResult.ADAPTER_ABSENT;
+      default -> AttemptResult.FAILED;
+    };
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEffect.java
@@ -1,14 +1,14 @@
 package org.parsleyhead.core.request;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.api.AdapterReference;
 import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.RequestIdentifier;
 import org.parsleyhead.core.api.UpstreamName;
-import org.parsleyhead.core.ticket.Priority;
+import org.parsleyhead.core.scheduling.ModelRequest;
 import org.parsleyhead.core.ticket.RouteItem;
 import org.parsleyhead.core.ticket.UpstreamItem;
 
@@ -32,9 +32,21 @@
    * Give back what a request did not use of its reservation.
    *
    * @param identifier the request
+   * @param clientAccount the client account
    * @param tokens the tokens that it used
    */
-  record Settle(RequestIdentifier identifier, long tokens) implements RequestEffect {}
+  record Settle(RequestIdentifier identifier, ClientAccountName clientAccount, long tokens)
+      implements RequestEffect {}
+
+  /**
+   * Give back the reservation of a request that certainly did not run, or its place in the wait for
+   * one.
+   *
+   * @param identifier the request
+   * @param clientAccount the client account
+   */
+  record Release(RequestIdentifier identifier, ClientAccountName clientAccount)
+      implements RequestEffect {}
 
   /**
    * Find out whether a request that is not idempotent was received before, and record it.
@@ -54,23 +66,15 @@
   /**
    * Choose an engine for a call to a model.
    *
-   * @param identifier the request
-   * @param adapter the adapter and version
-   * @param clientAccount the client account; empty on open routes
-   * @param call the call
-   * @param priority the class of the request
-   * @param remaining the time until the deadline
-   * @param excluded upstreams that failed it before
+   * @param request the request as scheduling sees it
    */
-  record SubmitModelCall(
-      RequestIdentifier identifier,
-      AdapterReference adapter,
-      Optional<ClientAccountName> clientAccount,
-      ModelCall call,
-      Priority priority,
-      Duration remaining,
-      Set<UpstreamName> excluded)
-      implements RequestEffect {}
+  record SubmitModelCall(ModelRequest request) implements RequestEffect {
+
+    @Override
+    public RequestIdentifier identifier() {
+      return request.identifier();
+    }
+  }
 
   /**
    * Choose a plain service for a call.
@@ -104,6 +108,7 @@
    * @param attempt the number of the attempt
    * @param upstream the upstream
    * @param adapter the adapter and version that must answer; empty for plain services
+   * @param writeBefore until when the request may be written; after that it is not sent at all
    * @param mayShareConnection whether it may use a connection that was used before
    */
   record Send(
@@ -111,6 +116,7 @@
       int attempt,
       UpstreamItem upstream,
       Optional<AdapterReference> adapter,
+      MonotonicTime writeBefore,
       boolean mayShareConnection)
       implements RequestEffect {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.RequestIdentifier;
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.UpstreamItem;
@@ -48,8 +49,10 @@
    *
    * @param identifier the request
    * @param upstream the upstream
+   * @param writeBefore until when the request may be written
    */
-  record Dispatched(RequestIdentifier identifier, UpstreamItem upstream) implements RequestEvent {}
+  record Dispatched(RequestIdentifier identifier, UpstreamItem upstream, MonotonicTime writeBefore)
+      implements RequestEvent {}
 
   /**
    * No upstream will be chosen for a request.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestSettings.java
@@ -23,9 +23,12 @@
     double maximumRetryCredit,
     Duration decisionTimeout) {
 
+  /** How long after its receipt a request that is not idempotent may be written. */
+  public static final Duration REPEAT_CHECK_VALIDITY = Duration.ofSeconds(10);
+
   /** Settings for one entry host of today's size. */
   public static final RequestSettings DEFAULTS =
-      new RequestSettings(8_192, 4, 1, 0.1, 50, Duration.ofSeconds(2));
+      new RequestSettings(8_192, 4, 1, 0.1, 50, Duration.ofSeconds(5));
 
   /** Checks the limits. */
   public RequestSettings {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestState.java
@@ -16,19 +16,16 @@
 
   private final RequestSettings settings;
   private final Catalogue catalogue;
-  private final RouteTable routes;
   private final PMap<RequestIdentifier, ActiveRequest> active;
   private final double retryCredit;
 
   private RequestState(
       RequestSettings settings,
       Catalogue catalogue,
-      RouteTable routes,
       PMap<RequestIdentifier, ActiveRequest> active,
       double retryCredit) {
     this.settings = settings;
     this.catalogue = catalogue;
-    this.routes = routes;
     this.active = active;
     this.retryCredit = retryCredit;
   }
@@ -37,11 +34,7 @@
   public static RequestState initial(RequestSettings settings) {
     Preconditions.requireNonNull(settings, "settings");
     return new RequestState(
-        settings,
-        Catalogue.empty(),
-        RouteTable.of(Catalogue.empty()),
-        HashTreePMap.empty(),
-        settings.maximumRetryCredit());
+        settings, Catalogue.empty(), HashTreePMap.empty(), settings.maximumRetryCredit());
   }
 
   /** Returns how many requests are active. */
@@ -58,10 +51,6 @@
     return settings;
   }
 
-  RouteTable routes() {
-    return routes;
-  }
-
   PMap<RequestIdentifier, ActiveRequest> active() {
     return active;
   }
@@ -75,28 +64,24 @@
   }
 
   RequestState with(Catalogue next) {
-    return new RequestState(settings, next, RouteTable.of(next), active, retryCredit);
+    return new RequestState(settings, next, active, retryCredit);
   }
 
   RequestState with(ActiveRequest request) {
     return new RequestState(
-        settings,
-        catalogue,
-        routes,
-        active.plus(request.description().identifier(), request),
-        retryCredit);
+        settings, catalogue, active.plus(request.description().identifier(), request), retryCredit);
   }
 
   RequestState without(RequestIdentifier identifier) {
-    return new RequestState(settings, catalogue, routes, active.minus(identifier), retryCredit);
+    return new RequestState(settings, catalogue, active.minus(identifier), retryCredit);
   }
 
   RequestState earnRetry() {
     double earned = Math.min(settings.maximumRetryCredit(), retryCredit + settings.retryRatio());
-    return new RequestState(settings, catalogue, routes, active, earned);
+    return new RequestState(settings, catalogue, active, earned);
   }
 
   RequestState spendRetry() {
-    return new RequestState(settings, catalogue, routes, active, retryCredit - 1);
+    return new RequestState(settings, catalogue, active, retryCredit - 1);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/RequestTransition.java
@@ -78,7 +78,7 @@
       RequestState state, RequestEvent.Admitted event, MonotonicTime time) {
     return inPhase(state, event.identifier(), ActiveRequest.Phase.ADMITTING)
         .map(request -> Progress.afterAdmission(state, request, time))
-        .orElseGet(() -> Step.of(state, new RequestEffect.Settle(event.identifier(), 0)));
+        .orElseGet(() -> Step.of(state));
   }
 
   private static Step<RequestState, RequestEffect> notAdmitted(
@@ -152,9 +152,19 @@
             sent.attempts().count(),
             event.upstream(),
             sent.adapter(),
+            writeBefore(event, sent),
             sent.route().idempotent()));
   }
 
+  /** A request that is not idempotent is written only while its check for repetition counts. */
+  private static MonotonicTime writeBefore(RequestEvent.Dispatched event, ActiveRequest request) {
+    MonotonicTime limit =
+        request.route().idempotent()
+            ? request.deadline()
+            : request.received().plus(RequestSettings.REPEAT_CHECK_VALIDITY);
+    return event.writeBefore().isBefore(limit) ? event.writeBefore() : limit;
+  }
+
   private static Step<RequestState, RequestEffect> notDispatched(
       RequestState state, RequestEvent.NotDispatched event) {
     return inPhase(state, event.identifier(), ActiveRequest.Phase.QUEUED)
@@ -180,7 +190,8 @@
         new RequestEffect.Withdraw(
             identifier, request.attempts().upstream(), AttemptResult.FINISHED, tokens));
     if (request.clientAccount().isPresent()) {
-      effects.add(new RequestEffect.Settle(identifier, tokens));
+      long used = request.isModelCall() ? tokens : state.settings().plainCallTokens();
+      effects.add(new RequestEffect.Settle(identifier, request.clientAccount().get(), used));
     }
     return new Step<>(state.without(identifier), effects);
   }
@@ -194,6 +205,7 @@
                 new Step<>(
                     state.without(event.identifier()),
                     Progress.release(
+                        state,
                         Recovery.assumeRun(request),
                         AttemptResult.CANCELLED,
                         event.tokensPassed())))
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ConfigurationEffects.java
@@ -0,0 +1,141 @@
+package org.parsleyhead.entry.process;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.engine.EngineEvent;
+import org.parsleyhead.core.membership.HostList;
+import org.parsleyhead.core.quota.Limits;
+import org.parsleyhead.core.quota.QuotaEvent;
+import org.parsleyhead.core.request.RequestEvent;
+import org.parsleyhead.core.scheduling.SchedulingEvent;
+import org.parsleyhead.core.ticket.AppliedChange;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.parsleyhead.core.ticket.ClientAccountItem;
+import org.parsleyhead.core.ticket.ConfigurationEffect;
+import org.parsleyhead.core.ticket.ServiceRead;
+import org.parsleyhead.core.ticket.UpstreamItem;
+import org.parsleyhead.runtime.audit.AuditChange;
+import org.parsleyhead.runtime.audit.AuditEvent;
+import org.parsleyhead.runtime.log.EventLog;
+
+/**
+ * Carries out the effects of the configuration duty: a new catalogue goes to every duty that uses
+ * it. Runs on the configuration duty's thread and does not block.
+ */
+final class ConfigurationEffects implements Consumer<ConfigurationEffect> {
+
+  private final Rings rings;
+  private final PeerRouter peers;
+  private final Consumer<ServiceRead> reader;
+  private final Supplier<HostList> hostList;
+  private final Consumer<AuditEvent> audit;
+  private final EventLog log;
+
+  ConfigurationEffects(
+      Rings rings,
+      PeerRouter peers,
+      Consumer<ServiceRead> reader,
+      Supplier<HostList> hostList,
+      Consumer<AuditEvent> audit,
+      EventLog log) {
+    this.rings = Preconditions.requireNonNull(rings, "rings");
+    this.peers = Preconditions.requireNonNull(peers, "peers");
+    this.reader = Preconditions.requireNonNull(reader, "reader");
+    this.hostList = Preconditions.requireNonNull(hostList, "hostList");
+    this.audit = Preconditions.requireNonNull(audit, "audit");
+    this.log = Preconditions.requireNonNull(log, "log");
+  }
+
+  @Override
+  public void accept(ConfigurationEffect effect) {
+    if (effect instanceof ConfigurationEffect.Send send) {
+      peers.send(send.host(), send.message());
+    } else if (effect instanceof ConfigurationEffect.Read read) {
+      reader.accept(read.read());
+    } else if (effect instanceof ConfigurationEffect.CatalogueChanged changed) {
+      catalogueChanged(changed);
+    } else if (effect instanceof ConfigurationEffect.BecameReady ready) {
+      log.info("configuration_ready", "merged_through", ready.mergedThrough());
+    } else if (effect instanceof ConfigurationEffect.TicketRefused refused) {
+      log.warning("ticket_refused", "ticket", refused.number(), "reason", refused.reason());
+    }
+  }
+
+  /** Hands the catalogue with the leaving upstreams of the host list to the duties that use it. */
+  void distribute(Catalogue catalogue, Set<String> withdrawnKeys) {
+    Catalogue effective = catalogue.withLeaving(hostList.get().leavingUpstreams());
+    List<UpstreamItem> upstreams = effective.upstreams();
+    boolean accepted =
+        rings.request().offer(new RequestEvent.CatalogueChanged(effective, withdrawnKeys))
+            & rings.scheduling().offer(new SchedulingEvent.UpstreamsChanged(upstreams))
+            & rings.ownership().offer(new EngineEvent.UpstreamsChanged(upstreams));
+    if (!accepted) {
+      log.warning("catalogue_not_distributed", "highest", effective.highest());
+    }
+  }
+
+  private void catalogueChanged(ConfigurationEffect.CatalogueChanged changed) {
+    changed.clientAccountChanges().forEach(this::changeLimits);
+    distribute(changed.catalogue(), Set.copyOf(changed.withdrawnKeyDigests()));
+    auditEvents(changed).forEach(audit);
+    log.info(
+        "catalogue_in_force",
+        "merged_through",
+        changed.mergedThrough(),
+        "changes",
+        changed.changes().size(),
+        "heard_from",
+        changed.source());
+  }
+
+  private void changeLimits(AppliedChange change) {
+    ClientAccountName account = new ClientAccountName(change.key().name());
+    QuotaEvent event =
+        change
+            .after()
+            .map(ClientAccountItem.class::cast)
+            .<QuotaEvent>map(
+                item ->
+                    new QuotaEvent.LimitsDeclared(
+                        account,
+                        new Limits(change.number(), item.tokensPerSecond(), item.burstTokens())))
+            .orElseGet(() -> new QuotaEvent.AccountDeleted(account, change.number()));
+    if (!rings.quota().offer(event)) {
+      log.warning("limits_not_distributed", "client_account", account);
+    }
+  }
+
+  private static List<AuditEvent> auditEvents(ConfigurationEffect.CatalogueChanged changed) {
+    Map<TicketNumber, List<AuditChange>> byTicket = new LinkedHashMap<>();
+    for (AppliedChange change : changed.changes()) {
+      byTicket
+          .computeIfAbsent(change.number(), number -> new ArrayList<>())
+          .add(new AuditChange(change.key(), actionOf(change)));
+    }
+    Instant now = Instant.now();
+    return byTicket.entrySet().stream()
+        .map(
+            entry ->
+                new AuditEvent(
+                    entry.getKey(), changed.source().toString(), now, entry.getValue()))
+        .toList();
+  }
+
+  private static AuditChange.Action actionOf(AppliedChange change) {
+    if (change.after().isEmpty()) {
+      return AuditChange.Action.DELETED;
+    }
+    return change.before().isPresent()
+        ? AuditChange.Action.REPLACED
+        : AuditChange.Action.CREATED;
+  }
+}
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
@@ -28,6 +28,8 @@
       ports.reserve().accept(reserve);
     } else if (effect instanceof RequestEffect.Settle settle) {
       ports.settle().accept(settle);
+    } else if (effect instanceof RequestEffect.Release release) {
+      ports.release().accept(release);
     } else if (effect instanceof RequestEffect.CheckRepeat check) {
       ports.checkRepeat().accept(check);
     } else if (effect instanceof RequestEffect.ForgetRepeat forget) {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestPorts.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestPorts.java
@@ -11,6 +11,7 @@
  *
  * @param reserve reserves tokens
  * @param settle settles a reservation
+ * @param release gives a reservation back
  * @param checkRepeat checks for repetition
  * @param forgetRepeat lets a request that did not run be sent again
  * @param submitModelCall chooses an engine
@@ -20,6 +21,7 @@
 record RequestPorts(
     Consumer<RequestEffect.Reserve> reserve,
     Consumer<RequestEffect.Settle> settle,
+    Consumer<RequestEffect.Release> release,
     Consumer<RequestEffect.CheckRepeat> checkRepeat,
     Consumer<RequestEffect.ForgetRepeat> forgetRepeat,
     Consumer<RequestEffect.SubmitModelCall> submitModelCall,
@@ -29,6 +31,7 @@
   RequestPorts {
     Preconditions.requireNonNull(reserve, "reserve");
     Preconditions.requireNonNull(settle, "settle");
+    Preconditions.requireNonNull(release, "release");
     Preconditions.requireNonNull(checkRepeat, "checkRepeat");
     Preconditions.requireNonNull(forgetRepeat, "forgetRepeat");
     Preconditions.requireNonNull(submitModelCall, "submitModelCall");
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AnswerRelay.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AnswerRelay.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.entry.upstream;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.parsleyhead.core.request.FailureStage;
 
 /**
  * Passes one attempt's answer to the caller. All methods run on the event loop of the caller's
@@ -17,6 +18,6 @@
   /** Takes the end of the body. */
   void end();
 
-  /** Takes a failure of the connection, and whether the request was written to it. */
-  void failed(boolean written, String reason);
+  /** Takes a failure of the connection, and how far the attempt had come. */
+  void failed(FailureStage stage, String reason);
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/StreamRelay.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/StreamRelay.java
@@ -78,8 +78,8 @@
   }
 
   @Override
-  public void failed(boolean written, String reason) {
-    report.failed(written ? FailureStage.AFTER_WRITE : FailureStage.BEFORE_WRITE, reason);
+  public void failed(FailureStage stage, String reason) {
+    report.failed(stage, reason);
   }
 
   private void pass(byte[] event, StreamChunk chunk) {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamClient.java
@@ -21,6 +21,7 @@
 import org.parsleyhead.core.request.RequestEffect;
 import org.parsleyhead.entry.callers.Exchange;
 import org.parsleyhead.entry.callers.ReceivedRequest;
+import org.parsleyhead.runtime.duty.MonotonicClock;
 
 /**
  * Sends requests to upstreams and relays their answers.
@@ -40,13 +41,19 @@
   private final UpstreamSettings settings;
   private final AsyncHttpClient client;
   private final AttemptListener listener;
+  private final MonotonicClock clock;
   private final Map<RequestIdentifier, ListenableFuture<Void>> running = new ConcurrentHashMap<>();
 
   /** Creates a client whose connections are served by a group of event loops. */
   public UpstreamClient(
-      HostName self, UpstreamSettings settings, EventLoopGroup workers, AttemptListener listener) {
+      HostName self,
+      UpstreamSettings settings,
+      EventLoopGroup workers,
+      MonotonicClock clock,
+      AttemptListener listener) {
     this.self = Preconditions.requireNonNull(self, "self");
     this.settings = Preconditions.requireNonNull(settings, "settings");
+    this.clock = Preconditions.requireNonNull(clock, "clock");
     this.listener = Preconditions.requireNonNull(listener, "listener");
     this.client = Dsl.asyncHttpClient(config(settings, workers));
   }
@@ -89,7 +96,7 @@
     AttemptReport report =
         new AttemptReport(exchange, send.attempt(), listener, () -> disconnect(send.identifier()));
     AnswerRelay relay = relay(send, exchange, report);
-    AttemptHandler handler = new AttemptHandler(exchange, relay);
+    AttemptHandler handler = new AttemptHandler(exchange, relay, clock, send.writeBefore());
     ListenableFuture<Void> future = client.executeRequest(request(send, exchange), handler);
     running.put(send.identifier(), future);
     future.addListener(() -> running.remove(send.identifier(), future), Runnable::run);
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamException.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamException.java
@@ -2,7 +2,7 @@
 
 import org.parsleyhead.core.api.ParsleyheadException;
 
-/** Thrown when the client of upstreams cannot work at all. */
+/** Thrown when an upstream cannot be called, or a call must not be written any more. */
 public final class UpstreamException extends ParsleyheadException {
 
   /** The stable code of this error. */
@@ -10,6 +10,10 @@
 
   private static final long serialVersionUID = 1L;
 
+  UpstreamException(String message) {
+    super(CODE, message);
+  }
+
   UpstreamException(String message, Throwable cause) {
     super(CODE, message, cause);
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamSettings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamSettings.java
@@ -11,19 +11,16 @@
  * @param connectTimeout the longest time for a connection to open
  * @param progressTimeout the longest silence of a stream; then it is resumed on a new connection
  * @param answerTimeout the longest silence of an upstream that answers in one piece
- * @param bufferedAnswerBytes up to which length an answer is held back until it is complete
  */
 public record UpstreamSettings(
     Duration connectTimeout,
     Duration progressTimeout,
-    Duration answerTimeout,
-    int bufferedAnswerBytes) {
+    Duration answerTimeout) {
 
   /** Checks the limits. */
   public UpstreamSettings {
     Preconditions.requireNonNull(connectTimeout, "connectTimeout");
     Preconditions.requireNonNull(progressTimeout, "progressTimeout");
     Preconditions.requireNonNull(answerTimeout, "answerTimeout");
-    Preconditions.requireNonNegative(bufferedAnswerBytes, "bufferedAnswerBytes");
   }
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/WholeRelay.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/WholeRelay.java
@@ -80,8 +80,8 @@
   }
 
   @Override
-  public void failed(boolean written, String reason) {
-    report.failed(written ? FailureStage.AFTER_WRITE : FailureStage.BEFORE_WRITE, reason);
+  public void failed(FailureStage stage, String reason) {
+    report.failed(stage, reason);
   }
 
   private void endCompletion(byte[] body) {
@@ -128,6 +128,6 @@
         .modelCall()
         .filter(call -> adapter.isPresent())
         .map(ModelCall::totalTokens)
-        .orElse(Long.MAX_VALUE);
+        .orElse(0L);
   }
 }
