--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the published configuration and host list over HTTP. */
+package org.parsleyhead.entry.configuration;
--- /dev/null
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/FakeService.java
@@ -0,0 +1,67 @@
+package org.parsleyhead.entry.configuration;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A configuration service on loopback that answers each path as the test says. Thread-safe. */
+final class FakeService implements AutoCloseable {
+
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+
+  FakeService() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
+    server.createContext("/", this::handle);
+    server.setExecutor(threads);
+    server.start();
+  }
+
+  URI uri() {
+    return URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+  }
+
+  void answer(String pathAndQuery, int status, long revision, byte[] body) {
+    answers.put(pathAndQuery, new Answer(status, revision, body));
+  }
+
+  List<String> requests() {
+    return requests;
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    String request = exchange.getRequestURI().toString();
+    requests.add(request);
+    Answer answer = answers.getOrDefault(request, new Answer(404, 0, new byte[0]));
+    if (answer.status() == 0) {
+      return;
+    }
+    exchange.getResponseHeaders().add("Revision", Long.toString(answer.revision()));
+    boolean empty = answer.body().length == 0;
+    exchange.sendResponseHeaders(answer.status(), empty ? -1 : answer.body().length);
+    if (!empty) {
+      exchange.getResponseBody().write(answer.body());
+    }
+    exchange.close();
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  /** An answer; with status zero there is none. */
+  private record Answer(int status, long revision, byte[] body) {}
+}
