--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FakeMembershipFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FakeMembershipFleet.java
@@ -123,6 +123,22 @@
     publish();
   }
 
+  void stop(HostName host) {
+    current.get(host).endsAt = now;
+  }
+
+  void pause(HostName host, Duration duration) {
+    current.get(host).pausedUntil = now + duration.toNanos();
+  }
+
+  void cut(HostName host) {
+    cutOff.add(host);
+  }
+
+  void heal() {
+    cutOff.clear();
+  }
+
   private void fault() {
     HostName host = name(random.nextInt(size));
     switch (random.nextInt(6)) {
@@ -135,7 +151,7 @@
     }
   }
 
-  private void restart(HostName host) {
+  void restart(HostName host) {
     Process former = current.get(host);
     former.endsAt = now + (random.nextBoolean() ? 0 : milliseconds(20_000));
     start(host);
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/LinkState.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/LinkState.java
@@ -17,7 +17,7 @@
  * @param link the number of the connection
  * @param since when the status began
  * @param failures how many attempts failed in a row
- * @param notBefore when the next attempt is allowed
+ * @param notBefore when the next attempt is allowed, or on an open connection the next ping
  * @param waiting the messages that wait for the connection to open
  * @param written whether anything was written since the last ping
  * @param pingSentAt when the ping that is not yet answered was sent
@@ -89,8 +89,9 @@
     return withPing(true, failures, pingSentAt);
   }
 
-  LinkState pinged(MonotonicTime time) {
-    return withPing(false, failures, Optional.of(time));
+  LinkState pinged(MonotonicTime time, MonotonicTime next) {
+    return new LinkState(
+        status, endpoint, link, since, failures, next, waiting, false, Optional.of(time));
   }
 
   LinkState answered() {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/Links.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/Links.java
@@ -148,9 +148,11 @@
       effects.add(new LinkEffect.Close(link.link(), true));
       return state.with(host, LinkState.idle(link.endpoint(), 0, time, time));
     }
-    if (link.written() && link.pingSentAt().isEmpty()) {
+    boolean pings =
+        link.written() && link.pingSentAt().isEmpty() && !time.isBefore(link.notBefore());
+    if (pings) {
       effects.add(new LinkEffect.Ping(host, link.link()));
-      return state.with(host, link.pinged(time));
+      return state.with(host, link.pinged(time, time.plus(settings.pingInterval())));
     }
     return state;
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransportSettings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransportSettings.java
@@ -13,6 +13,7 @@
  * @param self the host and run that messages are sent as
  * @param listenEndpoint where other hosts connect to
  * @param connectTimeout after what time an attempt to connect has failed
+ * @param pingInterval how often a connection that is written to is pinged
  * @param silenceLimit after what time without an answer to a ping a connection is replaced
  * @param idleLimit after what time without traffic an incoming connection is closed
  * @param tickInterval how often connections are looked after
@@ -24,6 +25,7 @@
     Sender self,
     Endpoint listenEndpoint,
     Duration connectTimeout,
+    Duration pingInterval,
     Duration silenceLimit,
     Duration idleLimit,
     Duration tickInterval,
@@ -32,6 +34,7 @@
     boolean verifyAddress) {
 
   private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration DEFAULT_PING_INTERVAL = Duration.ofSeconds(2);
   private static final Duration DEFAULT_SILENCE_LIMIT = Duration.ofSeconds(3);
   private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofMinutes(2);
   private static final Duration DEFAULT_TICK_INTERVAL = Duration.ofSeconds(1);
@@ -43,6 +46,7 @@
     Preconditions.requireNonNull(self, "self");
     Preconditions.requireNonNull(listenEndpoint, "peer_endpoint");
     Preconditions.requirePositive(connectTimeout.toMillis(), "connect_timeout");
+    Preconditions.requirePositive(pingInterval.toMillis(), "ping_interval");
     Preconditions.requirePositive(silenceLimit.toMillis(), "silence_limit");
     Preconditions.requirePositive(idleLimit.toMillis(), "idle_limit");
     Preconditions.requirePositive(tickInterval.toMillis(), "tick_interval");
@@ -59,6 +63,7 @@
         self,
         listenEndpoint,
         DEFAULT_CONNECT_TIMEOUT,
+        DEFAULT_PING_INTERVAL,
         DEFAULT_SILENCE_LIMIT,
         DEFAULT_IDLE_LIMIT,
         DEFAULT_TICK_INTERVAL,
--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/peer/PeerTransportTests.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/peer/PeerTransportTests.java
@@ -77,6 +77,7 @@
             new Sender(host, new Incarnation(1)),
             endpoint,
             Duration.ofSeconds(2),
+            Duration.ofMillis(50),
             Duration.ofMillis(200),
             Duration.ofMinutes(1),
             Duration.ofMillis(20),
