Fleets of quota cores on a fake clock; demand estimate by expected use

Cause: lending has to be measured on whole fleets, with the bound checked by an independent ledger. Change: FakeFleet, FakeHost and AdmissionLedger; lenders keep what their demand needs.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/AdmissionRules.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/AdmissionRules.java
@@ -20,9 +20,11 @@
   private static final Duration LONGEST_RETRY = Duration.ofMinutes(1);
 
   private final QuotaSettings settings;
+  private final RefundRule refundRule;
 
-  AdmissionRules(QuotaSettings settings) {
+  AdmissionRules(QuotaSettings settings, RefundRule refundRule) {
     this.settings = settings;
+    this.refundRule = refundRule;
   }
 
   /** Takes up a request: it waits behind those that came before. */
@@ -37,7 +39,7 @@
     WaitingRequest request =
         new WaitingRequest(event.request(), amount, time.plus(settings.maximumWait()));
     return state
-        .withDemand(state.demand().plus(amount, time))
+        .withDemand(state.demand().reserved(amount, time))
         .withWaiting(state.waiting().plus(request));
   }
 
@@ -89,16 +91,15 @@
   }
 
   /** Gives back what a request reserved and did not use. */
-  AccountState settle(
-      AccountState state, RequestIdentifier request, long microtokens, MonotonicTime time) {
+  AccountState settle(AccountState state, RequestIdentifier request, long microtokens) {
     Reservation reservation = state.reservations().get(request);
     if (reservation == null) {
       return withoutWaiting(state, request);
     }
     long unused = Math.max(0, reservation.microtokens() - microtokens);
     return state
-        .withBucket(state.bucket().refund(reservation.mark(), unused))
-        .withDemand(state.demand().plus(-unused, time))
+        .withBucket(refundRule.refund(state.bucket(), reservation.mark(), unused))
+        .withDemand(state.demand().settled(reservation.microtokens(), microtokens))
         .withReservations(state.reservations().minus(request));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/DemandLending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/DemandLending.java
@@ -7,13 +7,17 @@
  */
 final class DemandLending {
 
-  private static final long RESERVE_PERCENT = 110;
+  private static final long FILLED_RESERVE_PERCENT = 110;
+  private static final long DRAINED_RESERVE_PERCENT = 250;
   private static final long TOKEN_RESERVE_MILLISECONDS = 500;
 
   private DemandLending() {}
 
   static LendingPolicy.Offer decide(LendingView view) {
-    long spareParts = Math.max(0, view.freeParts() - view.demandParts() * RESERVE_PERCENT / 100);
+    boolean filled = view.microtokens() >= view.capacity() / 2;
+    long reservePercent = filled ? FILLED_RESERVE_PERCENT : DRAINED_RESERVE_PERCENT;
+    long demandParts = view.demandParts() * reservePercent / 100;
+    long spareParts = Math.max(0, view.freeParts() - demandParts);
     long reserve = view.demandPerSecond() / 1000 * TOKEN_RESERVE_MILLISECONDS;
     long spareTokens = Math.max(0, view.microtokens() - reserve);
     return new LendingPolicy.Offer(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRules.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRules.java
@@ -26,12 +26,16 @@
 
   private static final Duration SHORTEST_LOAN = Duration.ofMillis(300);
 
+  private static final long PORTION_PERCENT = 150;
+
   private final QuotaSettings settings;
+  private final Duration driftMargin;
   private final LendingPolicy policy;
   private final Needs needs;
 
-  LoanRules(QuotaSettings settings, LendingPolicy policy, Needs needs) {
+  LoanRules(QuotaSettings settings, Duration driftMargin, LendingPolicy policy, Needs needs) {
     this.settings = settings;
+    this.driftMargin = driftMargin;
     this.policy = policy;
     this.needs = needs;
   }
@@ -45,6 +49,7 @@
       List<QuotaEffect> effects) {
     long parts = needs.lackingParts(state, time);
     long tokens = needs.lackingTokens(state, time);
+    long others = share.standing().map(standing -> standing.members().size() - 1L).orElse(0L);
     boolean due = !time.isBefore(state.nextAskAt()) && share.standing().isPresent();
     if (!due || (parts == 0 && tokens == 0)) {
       return state;
@@ -90,7 +95,7 @@
         renewed
             .filter(known -> parts > 0)
             .orElse(new LoanIdentifier(settings.incarnation(), number));
-    LentLoan entry = new LentLoan(parts, time.plus(duration).plus(settings.driftMargin()));
+    LentLoan entry = new LentLoan(parts, time.plus(duration).plus(driftMargin));
     AccountState lent =
         parts == 0
             ? current
@@ -111,7 +116,7 @@
     }
     AccountState answered =
         state.withAsked(state.asked().minus(grant.requestNumber()), state.nextAskAt());
-    MonotonicTime until = ask.sentAt().plus(grant.duration()).minus(settings.driftMargin());
+    MonotonicTime until = ask.sentAt().plus(grant.duration()).minus(driftMargin);
     if (grant.parts() > 0 && time.isBefore(until)) {
       BorrowedLoan loan = new BorrowedLoan(sender.host(), grant.parts(), until);
       answered = answered.withLoans(answered.lent(), answered.borrowed().plus(grant.loan(), loan));
@@ -153,7 +158,9 @@
     long needed = needs.neededParts(state, time);
     boolean spare =
         loan.isPresent()
-            && state.bucket().parts() - state.borrowed().get(loan.get()).parts() >= needed;
+            && state.waiting().isEmpty()
+            && (state.bucket().level() >= state.bucket().capacity() / 2
+                || state.bucket().parts() - state.borrowed().get(loan.get()).parts() >= needed);
     return spare ? giveBack(state, share, loan.get(), time, effects) : state;
   }
 
@@ -191,6 +198,7 @@
             new LendingView(
                 free,
                 state.demand().parts(state.limits(), time),
+                state.bucket().capacity(),
                 state.bucket().level(),
                 state.demand().perSecond(time),
                 request.parts(),
@@ -219,6 +227,11 @@
     return LoanBook.withParts(state.withBucket(state.bucket().charge(tokens)), share.parts());
   }
 
+  /** Returns what one of several hosts is asked for, since not all will lend. */
+  private static long portion(long lacking, long hosts) {
+    return Math.min(lacking, lacking * PORTION_PERCENT / 100 / hosts + 1);
+  }
+
   private Duration loanDuration(ShareState share, MonotonicTime time) {
     Duration right = share.rightUntil().get().since(time);
     return right.compareTo(settings.loanDuration()) < 0 ? right : settings.loanDuration();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Needs.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Needs.java
@@ -12,33 +12,37 @@
  */
 final class Needs {
 
-  private static final long MARGIN_PERCENT = 120;
-  private static final long TOKEN_RESERVE_MILLISECONDS = 500;
+  private static final long MARGIN_PERCENT = 115;
+  private static final long TOKEN_RESERVE_MILLISECONDS = 250;
   private static final Duration RENEWAL_LEAD = Duration.ofMillis(1_000);
 
   /** Returns the parts that the demand and the largest waiting request take up. */
   long neededParts(AccountState state, MonotonicTime time) {
-    long byRate = state.demand().parts(state.limits(), time) * MARGIN_PERCENT / 100;
-    return Math.min(QuotaUnits.PARTS, Math.max(byRate, partsToHold(state)));
+    return Math.max(partsForRate(state, time), partsToHold(state));
   }
 
-  /** Returns how many parts more are needed than will be held when the next loans have ended. */
+  /** Returns how many parts more are needed, those of loans that end soon included. */
   long lackingParts(AccountState state, MonotonicTime time) {
+    long held = state.bucket().parts();
+    long forRate = partsForRate(state, time);
+    boolean drained = state.bucket().level() < state.bucket().capacity() / 2;
+    long lacking = Math.max(drained ? forRate : 0, partsToHold(state)) - held;
     long ending =
         state.borrowed().values().stream()
             .filter(loan -> loan.until().since(time).compareTo(RENEWAL_LEAD) < 0)
             .mapToLong(BorrowedLoan::parts)
             .sum();
-    long held = state.bucket().parts() - ending;
-    return Math.max(0, neededParts(state, time) - held);
+    long renewed = Math.min(ending, neededParts(state, time) - (held - ending));
+    return Math.max(0, Math.max(lacking, renewed));
   }
 
   /** Returns how many tokens are lacking for waiting requests and the reserve. */
   long lackingTokens(AccountState state, MonotonicTime time) {
     long waiting = state.waiting().stream().mapToLong(WaitingRequest::microtokens).sum();
-    long wanted = waiting + tokenReserve(state, time);
-    return Math.max(
-        0, Math.min(wanted, state.limits().capacity(QuotaUnits.PARTS)) - state.bucket().level());
+    long wanted = waiting + Math.min(tokenReserve(state, time), state.bucket().capacity() / 4);
+    long parts = Math.min(QuotaUnits.PARTS, state.bucket().parts() + lackingParts(state, time));
+    long most = Math.min(wanted, state.limits().capacity(parts));
+    return Math.max(0, most - state.bucket().level());
   }
 
   /** Returns the tokens that the demand takes up in a short time. */
@@ -46,6 +50,11 @@
     return state.demand().perSecond(time) / 1000 * TOKEN_RESERVE_MILLISECONDS;
   }
 
+  private static long partsForRate(AccountState state, MonotonicTime time) {
+    long parts = state.demand().parts(state.limits(), time) * MARGIN_PERCENT / 100;
+    return Math.min(QuotaUnits.PARTS, parts);
+  }
+
   private static long partsToHold(AccountState state) {
     long burst = Math.max(1, state.limits().burstTokens());
     long largest = state.waiting().stream().mapToLong(WaitingRequest::microtokens).max().orElse(0);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaSettings.java
@@ -65,4 +65,9 @@
         DEFAULT_LOAN_REQUEST_INTERVAL,
         DEFAULT_MAXIMUM_WAIT);
   }
+
+  /** Returns how long a new cut waits until the former one is out of use everywhere. */
+  Duration installWait() {
+    return bindingDuration.plus(driftMargin);
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaTransition.java
@@ -30,9 +30,15 @@
   public QuotaTransition(QuotaSettings settings, LendingPolicy policy) {
     Preconditions.requireNonNull(settings, "settings");
     Preconditions.requireNonNull(policy, "policy");
-    this.shares = new ShareRules(settings);
-    this.admission = new AdmissionRules(settings);
-    this.loans = new LoanRules(settings, policy, new Needs());
+    this.shares = new ShareRules(settings, settings.installWait());
+    this.admission = new AdmissionRules(settings, TokenBucket::refund);
+    this.loans = new LoanRules(settings, settings.driftMargin(), policy, new Needs());
+  }
+
+  QuotaTransition(ShareRules shares, AdmissionRules admission, LoanRules loans) {
+    this.shares = shares;
+    this.admission = admission;
+    this.loans = loans;
   }
 
   @Override
@@ -53,14 +59,14 @@
           settle.account(),
           time,
           effects,
-          account -> admission.settle(account, settle.request(), used, time));
+          account -> admission.settle(account, settle.request(), used));
     } else if (event instanceof QuotaEvent.Release release) {
       return change(
           state,
           release.account(),
           time,
           effects,
-          account -> admission.settle(account, release.request(), 0, time));
+          account -> admission.settle(account, release.request(), 0));
     } else if (event instanceof QuotaEvent.MessageReceived received) {
       return receive(state, received.sender(), received.message(), time, effects);
     } else if (event instanceof QuotaEvent.StandingChanged changed) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/ShareRules.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/ShareRules.java
@@ -29,9 +29,10 @@
   private final Duration installWait;
   private final Duration confirmation;
 
-  ShareRules(QuotaSettings settings) {
+  /** Creates the rules with the time that a cut waits until the former one is out of use. */
+  ShareRules(QuotaSettings settings, Duration installWait) {
     this.settings = settings;
-    this.installWait = settings.bindingDuration().plus(settings.driftMargin());
+    this.installWait = installWait;
     this.confirmation = settings.bindingDuration().minus(settings.driftMargin().multipliedBy(2));
   }
 
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/FakeFleet.java
@@ -0,0 +1,129 @@
+package org.parsleyhead.core.quota;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.BiFunction;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.api.TicketNumber;
+
+/** A cell of quota cores on one fake clock, with a network that loses, delays and doubles. */
+final class FakeFleet {
+
+  static final ClientAccountName ACCOUNT = new ClientAccountName("kestrel");
+  static final long SECOND = Duration.ofSeconds(1).toNanos();
+  static final long MILLISECOND = Duration.ofMillis(1).toNanos();
+
+  final Random random;
+  final List<FakeHost> hosts = new ArrayList<>();
+  final AdmissionLedger ledger;
+  final BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions;
+  final LendingPolicy policy;
+  double loss;
+  double duplication;
+  long longestDelay = 3 * MILLISECOND;
+  long listVersion = 1;
+  SortedSet<HostName> listed = new TreeSet<>();
+  Limits limits;
+  long now;
+  private final PriorityQueue<Scheduled> schedule =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Scheduled::time).thenComparingLong(Scheduled::sequence));
+  private long sequence;
+  private long requests;
+
+  FakeFleet(
+      long seed,
+      int size,
+      Limits limits,
+      LendingPolicy policy,
+      BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
+    this.random = new Random(seed);
+    this.limits = limits;
+    this.policy = policy;
+    this.transitions = transitions;
+    this.ledger = new AdmissionLedger(limits);
+    for (int index = 0; index < size; index++) {
+      HostName name = new HostName("host-" + index);
+      hosts.add(new FakeHost(this, name));
+      listed.add(name);
+    }
+    hosts.forEach(FakeHost::start);
+  }
+
+  static Limits limits(long ticket, long tokensPerSecond, long burstTokens) {
+    return new Limits(new TicketNumber(ticket), tokensPerSecond, burstTokens);
+  }
+
+  void at(long time, Runnable action) {
+    schedule.add(new Scheduled(time, sequence++, action));
+  }
+
+  void after(long delay, Runnable action) {
+    at(now + delay, action);
+  }
+
+  void runUntil(long time) {
+    while (!schedule.isEmpty() && schedule.peek().time() <= time) {
+      Scheduled next = schedule.poll();
+      now = Math.max(now, next.time());
+      next.action().run();
+    }
+    now = time;
+  }
+
+  /** Carries a message unless the ends are cut off from each other or it is lost. */
+  void send(FakeHost from, HostName to, Object message) {
+    FakeHost receiver = host(to);
+    int copies = random.nextDouble() < duplication ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      if (from.side == receiver.side && random.nextDouble() >= loss) {
+        long delay = MILLISECOND + (long) (random.nextDouble() * longestDelay);
+        after(delay, () -> receiver.deliver(from.sender(), message));
+      }
+    }
+  }
+
+  FakeHost host(HostName name) {
+    return hosts.stream().filter(host -> host.name.equals(name)).findFirst().orElseThrow();
+  }
+
+  /** Publishes a list; each host reads it after a lag of its own. */
+  void publish(SortedSet<HostName> members, long longestLag) {
+    listed = new TreeSet<>(members);
+    listVersion++;
+    long version = listVersion;
+    for (FakeHost host : hosts) {
+      long lag = (long) (random.nextDouble() * longestLag);
+      after(lag, () -> host.readList(version, members));
+    }
+  }
+
+  /** Publishes other limits; each host reads them after a lag of its own. */
+  void declare(Limits changed, long longestLag) {
+    limits = changed;
+    ledger.limit(now, changed, now + longestLag + SECOND);
+    for (FakeHost host : hosts) {
+      after((long) (random.nextDouble() * longestLag), () -> host.readLimits(changed));
+    }
+  }
+
+  /** Sends one request of random size to a host; its use becomes known after a while. */
+  void request(FakeHost host, long mostTokens) {
+    long tokens = mostTokens / 10 + (long) (random.nextDouble() * mostTokens * 9 / 10);
+    long used = tokens / 5 + (long) (random.nextDouble() * tokens * 4 / 5);
+    long duration = 200 * MILLISECOND + (long) (random.nextDouble() * 3 * SECOND);
+    RequestIdentifier request = new RequestIdentifier("request-" + requests++);
+    ledger.offered(now);
+    host.reserve(request, tokens, used, duration);
+  }
+
+  private record Scheduled(long time, long sequence, Runnable action) {}
+}
