Repetitions, stalls, fairness and a lagging host list

Change: the load tool repeats requests through another target by probability or after a failed connection, leaves a warm-up out of latencies, and reports stalls from ledgers, requests inside the rate and the worst account's 95th percentile over the median's. Engines record what left the queue unrun as withdrawn; the host list may lag; the administration reports steps, tokens and loads. Ruled out: counting a not_run of a repetition as wrongful while another attempt ran, since the refused attempt itself did not run.

--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadMain.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadMain.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +12,8 @@
 import org.asynchttpclient.Dsl;
 import org.parsleyhead.core.api.ParsleyheadException;
 import org.parsleyhead.load.compare.LedgerComparison;
+import org.parsleyhead.load.compare.StallFigures;
+import org.parsleyhead.load.result.Outcome;
 import org.parsleyhead.load.result.OutcomeCodec;
 import org.parsleyhead.load.result.ReportLine;
 import org.parsleyhead.load.result.RunReport;
@@ -23,6 +24,7 @@
 import org.parsleyhead.runtime.log.EventLog;
 import org.parsleyhead.runtime.settings.SettingsException;
 import org.parsleyhead.standin.ledger.LedgerCodec;
+import org.parsleyhead.standin.ledger.LedgerEntry;
 
 /** The program that sends load on a fixed schedule and checks every answer. */
 public final class LoadMain {
@@ -125,28 +127,49 @@
       errors.println("error=usage message=\"--outcomes FILE is missing\"; see --help");
       return EXIT_USAGE;
     }
-    List<Path> outcomes = List.of(options.file("outcomes").orElseThrow());
+    List<Outcome> outcomes =
+        ResultFiles.lines(List.of(options.file("outcomes").orElseThrow()), OutcomeCodec::decode);
+    List<LedgerEntry> ledger = ResultFiles.lines(options.ledgers(), LedgerCodec::decode);
     List<LedgerComparison.Finding> findings =
         LedgerComparison.compare(
-            ResultFiles.lines(outcomes, OutcomeCodec::decode),
-            ResultFiles.lines(options.ledgers(), LedgerCodec::decode),
+            outcomes,
+            ledger,
             settings.accounts().values().stream().map(LoadSettings.Account::key).toList());
-    findings.stream().limit(FINDING_LINES).forEach(finding -> output.println(text(finding)));
-    ReportLine counts = ReportLine.of("comparison");
-    for (Map.Entry<LedgerComparison.Rule, Long> entry :
-        LedgerComparison.count(findings).entrySet()) {
-      counts = counts.with(entry.getKey().name().toLowerCase(Locale.ROOT), entry.getValue());
-    }
-    output.println(counts.text());
+    findings.stream()
+        .limit(FINDING_LINES)
+        .forEach(finding -> output.println(lineOf(finding).text()));
+    output.println(lineOf(StallFigures.of(outcomes, ledger)).text());
+    output.println(lineOf(LedgerComparison.count(findings)).text());
     return findings.isEmpty() ? EXIT_FINE : EXIT_FAILED;
   }
 
-  private static String text(LedgerComparison.Finding finding) {
+  private static ReportLine lineOf(Map<LedgerComparison.Rule, Long> counts) {
+    ReportLine line = ReportLine.of("comparison");
+    for (Map.Entry<LedgerComparison.Rule, Long> entry : counts.entrySet()) {
+      line = line.with(entry.getKey().name().toLowerCase(Locale.ROOT), entry.getValue());
+    }
+    return line;
+  }
+
+  private static ReportLine lineOf(StallFigures stalls) {
+    return ReportLine.of("stalls")
+        .with("loads", stalls.loads())
+        .with("refused_loads", stalls.failedLoads())
+        .with("stalled", stalls.stalled().size())
+        .with("stalled_total_milliseconds", stalls.stalledMilliseconds())
+        .with("stalled_p50_milliseconds", StallFigures.percentile(stalls.stalled(), 50))
+        .with("stalled_p95_milliseconds", StallFigures.percentile(stalls.stalled(), 95))
+        .with("resident", stalls.resident().size())
+        .with("resident_p50_milliseconds", StallFigures.percentile(stalls.resident(), 50))
+        .with("resident_p95_milliseconds", StallFigures.percentile(stalls.resident(), 95))
+        .with("resident_p99_milliseconds", StallFigures.percentile(stalls.resident(), 99));
+  }
+
+  private static ReportLine lineOf(LedgerComparison.Finding finding) {
     return ReportLine.of("finding")
         .with("rule", finding.rule().name().toLowerCase(Locale.ROOT))
         .with("upstream", finding.upstream())
-        .with("detail", finding.detail())
-        .text();
+        .with("detail", finding.detail());
   }
 
   private static AsyncHttpClient client(LoadSettings settings) {
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadRun.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadRun.java
@@ -7,6 +7,7 @@
 import org.parsleyhead.load.client.LoadClient;
 import org.parsleyhead.load.plan.PlannedRequest;
 import org.parsleyhead.load.plan.Schedule;
+import org.parsleyhead.load.plan.TargetSelector;
 import org.parsleyhead.load.result.LatencyFigures;
 import org.parsleyhead.load.result.Outcome;
 import org.parsleyhead.load.result.RunTotals;
@@ -34,6 +35,7 @@
   private final OutcomeFile file;
   private final EventLog log;
   private final LatencyFigures figures = new LatencyFigures();
+  private final AtomicLong sent = new AtomicLong();
   private final AtomicLong lost = new AtomicLong();
   private final Duty<RunTotals, RunTotals.Event, RunTotals.Effect> duty;
   private final LoadClient client;
@@ -60,17 +62,16 @@
     duty.start();
     Schedule schedule = new Schedule(settings, name);
     final long start = System.nanoTime() + START_DELAY.toNanos();
-    long sent = 0;
     while (schedule.hasNext()) {
       PlannedRequest request = schedule.next();
       long due = start + request.due().toNanos();
       sleepUntil(due);
+      sent.incrementAndGet();
       client.send(request, due);
-      sent++;
     }
     sleepUntil(start + settings.duration().toNanos());
     final Duration sending = Duration.ofNanos(System.nanoTime() - start);
-    awaitOutcomes(sent);
+    awaitOutcomes();
     duty.close();
     return sending;
   }
@@ -94,11 +95,11 @@
     }
   }
 
-  private void awaitOutcomes(long sent) throws InterruptedException {
+  private void awaitOutcomes() throws InterruptedException {
     long limit = System.nanoTime() + settings.requestTimeout().plus(END_GRACE).toNanos();
-    while (duty.state().ended() + lost.get() < sent) {
+    while (duty.state().ended() + lost.get() < sent.get()) {
       if (System.nanoTime() - limit > 0) {
-        long missing = sent - duty.state().ended() - lost.get();
+        long missing = sent.get() - duty.state().ended() - lost.get();
         log.warning("outcomes_missing", "count", missing);
         lost.addAndGet(missing);
         return;
@@ -107,20 +108,31 @@
     }
   }
 
-  private void ended(Outcome outcome) {
+  private void ended(PlannedRequest request, Outcome outcome) {
+    if (outcome.end() == Outcome.End.FAILED
+        && request.attempt() <= request.traffic().repetition().retries()) {
+      sent.incrementAndGet();
+      long now = System.nanoTime();
+      Duration due = request.due().plusNanos(outcome.totalNanoseconds());
+      client.send(request.again(due, TargetSelector.other(settings, request.target())), now);
+    }
     if (!duty.ring().offer(new RunTotals.Ended(outcome))) {
       lost.incrementAndGet();
     }
   }
 
   private void betweenTokens(PlannedRequest request, long nanoseconds) {
-    figures.record(
-        Outcome.Group.of(request.traffic()), LatencyFigures.Measure.BETWEEN_TOKENS, nanoseconds);
+    if (request.due().compareTo(settings.warmUp()) >= 0) {
+      figures.record(
+          Outcome.Group.of(request.traffic()), LatencyFigures.Measure.BETWEEN_TOKENS, nanoseconds);
+    }
   }
 
   private void carryOut(RunTotals.Effect effect) {
     if (effect instanceof RunTotals.Measure measure) {
-      figures.record(measure.outcome());
+      if (measure.outcome().dueNanoseconds() >= settings.warmUp().toNanos()) {
+        figures.record(measure.outcome());
+      }
     } else if (effect instanceof RunTotals.Keep keep) {
       file.keep(keep.outcome());
     }
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/check/EventSplitter.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/check/EventSplitter.java
@@ -14,22 +14,24 @@
 
   private static final String DATA = "data:";
 
-  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream rest = new ByteArrayOutputStream();
 
   /** Takes further bytes and returns the data of the lines that they complete. */
   public List<String> accept(byte[] bytes) {
     List<String> events = new ArrayList<>();
-    for (byte next : bytes) {
-      if (next == '\n') {
-        String text = line.toString(StandardCharsets.UTF_8);
-        line.reset();
-        if (text.startsWith(DATA)) {
-          events.add(text.substring(DATA.length()).strip());
+    int start = 0;
+    for (int index = 0; index < bytes.length; index++) {
+      if (bytes[index] == '\n') {
+        rest.write(bytes, start, index - start);
+        String line = rest.toString(StandardCharsets.UTF_8);
+        rest.reset();
+        start = index + 1;
+        if (line.startsWith(DATA)) {
+          events.add(line.substring(DATA.length()).strip());
         }
-      } else {
-        line.write(next);
       }
     }
+    rest.write(bytes, start, bytes.length - start);
     return events;
   }
 }
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/client/LoadClient.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/client/LoadClient.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.BoundRequestBuilder;
@@ -21,7 +21,7 @@
   private final AsyncHttpClient client;
   private final LongSupplier clock;
   private final BetweenTokens betweenTokens;
-  private final Consumer<Outcome> outcomes;
+  private final BiConsumer<PlannedRequest, Outcome> outcomes;
 
   /** Takes the time between two parts of a stream. Implementations are thread-safe. */
   @FunctionalInterface
@@ -43,7 +43,7 @@
       AsyncHttpClient client,
       LongSupplier clock,
       BetweenTokens betweenTokens,
-      Consumer<Outcome> outcomes) {
+      BiConsumer<PlannedRequest, Outcome> outcomes) {
     this.client = client;
     this.clock = clock;
     this.betweenTokens = betweenTokens;
@@ -58,7 +58,8 @@
             dueTime,
             clock.getAsLong(),
             nanoseconds -> betweenTokens.accept(request, nanoseconds));
-    build(request).execute(new RequestHandler(progress, clock, outcomes));
+    build(request)
+        .execute(new RequestHandler(progress, clock, outcome -> outcomes.accept(request, outcome)));
   }
 
   private BoundRequestBuilder build(PlannedRequest request) {
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/client/RequestProgress.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/client/RequestProgress.java
@@ -22,6 +22,7 @@
 final class RequestProgress {
 
   private static final int SUCCESS = 200;
+  private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
   private final PlannedRequest request;
   private final long dueTime;
@@ -126,6 +127,7 @@
     String content = call ? request.content() : AnswerCheck.promptOf(request);
     return new Outcome(
         request.identifier(),
+        request.attempt(),
         Outcome.Group.of(request.traffic()),
         end,
         request.model(),
@@ -133,6 +135,7 @@
         request.target().toString(),
         request.traffic().idempotent(),
         request.traffic().refusalExpected(),
+        System.currentTimeMillis() - (time - dueTime) / NANOSECONDS_PER_MILLISECOND,
         request.due().toNanos(),
         sentTime - dueTime,
         firstTime < 0 ? -1 : firstTime - dueTime,
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/compare/LedgerComparison.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/compare/LedgerComparison.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -14,7 +15,7 @@
  * Compares what callers were told with what upstreams ran.
  *
  * <p>Stateless and thread-safe. Requests and runs are matched by the digest of their content, which
- * no two requests of a run share.
+ * only the attempts of one request share.
  */
 public final class LedgerComparison {
 
@@ -24,7 +25,7 @@
   public enum Rule {
     /** A request that may not be repeated ran more than once. */
     DOUBLE_RUN,
-    /** A request of which a refusal says that it did not run has run. */
+    /** A request ran although each of its attempts was refused as not run. */
     WRONGFUL_NOT_RUN,
     /** A request was answered of which no upstream knows. */
     ANSWERED_WITHOUT_RUN,
@@ -48,10 +49,14 @@
         ledger.stream()
             .filter(LedgerComparison::hasRun)
             .collect(Collectors.groupingBy(LedgerEntry::contentDigest));
+    Map<String, List<Outcome>> attempts =
+        outcomes.stream()
+            .collect(
+                Collectors.groupingBy(
+                    Outcome::contentDigest, LinkedHashMap::new, Collectors.toList()));
     List<Finding> findings = new ArrayList<>();
-    for (Outcome outcome : outcomes) {
-      checkOutcome(outcome, runs.getOrDefault(outcome.contentDigest(), List.of()), findings);
-    }
+    attempts.forEach(
+        (digest, sent) -> checkRequest(sent, runs.getOrDefault(digest, List.of()), findings));
     ledger.forEach(entry -> checkEntry(entry, keys, findings));
     return findings;
   }
@@ -74,23 +79,26 @@
     };
   }
 
-  private static void checkOutcome(
-      Outcome outcome, List<LedgerEntry> runs, List<Finding> findings) {
-    boolean call = outcome.group().kind().equals("call");
-    if (call && !outcome.idempotent() && runs.size() > 1) {
-      findings.add(finding(Rule.DOUBLE_RUN, outcome, runs));
+  private static void checkRequest(
+      List<Outcome> attempts, List<LedgerEntry> runs, List<Finding> findings) {
+    Outcome first = attempts.get(0);
+    boolean call = first.group().kind().equals("call");
+    if (call && !first.idempotent() && runs.size() > 1) {
+      findings.add(finding(Rule.DOUBLE_RUN, first, runs));
     }
-    if (outcome.run().equals(Refusal.NOT_RUN) && !runs.isEmpty()) {
-      findings.add(finding(Rule.WRONGFUL_NOT_RUN, outcome, runs));
+    if (!runs.isEmpty()
+        && attempts.stream().allMatch(attempt -> attempt.run().equals(Refusal.NOT_RUN))) {
+      findings.add(finding(Rule.WRONGFUL_NOT_RUN, first, runs));
     }
-    if (outcome.end() == Outcome.End.ANSWERED && runs.isEmpty()) {
-      findings.add(finding(Rule.ANSWERED_WITHOUT_RUN, outcome, runs));
+    if (runs.isEmpty()
+        && attempts.stream().anyMatch(attempt -> attempt.end() == Outcome.End.ANSWERED)) {
+      findings.add(finding(Rule.ANSWERED_WITHOUT_RUN, first, runs));
     }
-    if (outcome.refusalExpected() && !runs.isEmpty()) {
-      findings.add(finding(Rule.FORBIDDEN_RUN, outcome, runs));
+    if (first.refusalExpected() && !runs.isEmpty()) {
+      findings.add(finding(Rule.FORBIDDEN_RUN, first, runs));
     }
-    if (runs.stream().anyMatch(run -> !run.model().equals(outcome.model()))) {
-      findings.add(finding(Rule.WRONG_MODEL, outcome, runs));
+    if (runs.stream().anyMatch(run -> !run.model().equals(first.model()))) {
+      findings.add(finding(Rule.WRONG_MODEL, first, runs));
     }
   }
 
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/PlannedRequest.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/PlannedRequest.java
@@ -8,9 +8,11 @@
 /**
  * One request of the schedule.
  *
- * <p>Immutable and thread-safe. No two requests of a run have the same content.
+ * <p>Immutable and thread-safe. No two requests of a run have the same content; attempts of one
+ * request do.
  *
  * @param identifier its identity, unique in the run
+ * @param attempt which sending of the request this is, from one
  * @param due when it is sent, from the start of the run
  * @param traffic the traffic that it belongs to
  * @param key the key that it shows
@@ -21,6 +23,7 @@
  */
 public record PlannedRequest(
     String identifier,
+    int attempt,
     Duration due,
     Traffic traffic,
     Optional<String> key,
@@ -33,4 +36,10 @@
   public Optional<String> idempotencyKey() {
     return traffic.idempotencyKeys() ? Optional.of("key-" + identifier) : Optional.empty();
   }
+
+  /** Returns the next attempt of this request. */
+  public PlannedRequest again(Duration time, Endpoint otherTarget) {
+    return new PlannedRequest(
+        identifier, attempt + 1, time, traffic, key, otherTarget, model, content, maximumTokens);
+  }
 }
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/Schedule.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/Schedule.java
@@ -3,7 +3,9 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.NoSuchElementException;
+import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 import org.parsleyhead.load.settings.LoadSettings;
 
 /**
@@ -14,8 +16,10 @@
  */
 public final class Schedule implements Iterator<PlannedRequest> {
 
-  private record Head(PlannedRequest request, TrafficStream stream) {}
+  private record Head(PlannedRequest request, Optional<TrafficStream> stream) {}
 
+  private final SplittableRandom random;
+  private final LoadSettings settings;
   private final PriorityQueue<Head> heads =
       new PriorityQueue<>(Comparator.comparing((Head head) -> head.request().due()));
 
@@ -26,6 +30,8 @@
    * @param run the name of the run, which stands in all identifiers
    */
   public Schedule(LoadSettings settings, String run) {
+    this.settings = settings;
+    this.random = new SplittableRandom(settings.seed());
     TargetSelector targets = TargetSelector.of(settings);
     ZipfDistribution popularity =
         new ZipfDistribution(settings.adapters().count(), settings.adapters().zipfExponent());
@@ -45,11 +51,21 @@
     if (head == null) {
       throw new NoSuchElementException("the schedule is over");
     }
-    add(head.stream());
+    head.stream().ifPresent(this::add);
+    if (head.stream().isPresent()
+        && random.nextDouble() < head.request().traffic().repetition().probability()) {
+      heads.add(new Head(repeated(head.request()), Optional.empty()));
+    }
     return head.request();
   }
 
+  private PlannedRequest repeated(PlannedRequest request) {
+    return request.again(
+        request.due().plus(request.traffic().repetition().delay()),
+        TargetSelector.other(settings, request.target()));
+  }
+
   private void add(TrafficStream stream) {
-    stream.next().ifPresent(request -> heads.add(new Head(request, stream)));
+    stream.next().ifPresent(request -> heads.add(new Head(request, Optional.of(stream))));
   }
 }
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/TargetSelector.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/TargetSelector.java
@@ -7,7 +7,7 @@
 
 /** Chooses the target of a request. Implementations are pure. */
 @FunctionalInterface
-interface TargetSelector {
+public interface TargetSelector {
 
   /** Returns the target of the request with a number at a time from the start of the run. */
   Endpoint select(Traffic traffic, long number, Duration time);
@@ -28,6 +28,12 @@
         settings.targets().get((int) Math.floorMod(index.of(traffic, number, time), (long) count));
   }
 
+  /** Returns the target behind one in the list, for a request that is sent again. */
+  static Endpoint other(LoadSettings settings, Endpoint target) {
+    int index = settings.targets().indexOf(target);
+    return settings.targets().get((index + 1) % settings.targets().size());
+  }
+
   /** Gives a number from which the target follows. */
   @FunctionalInterface
   interface TargetIndex {
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/TrafficStream.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/plan/TrafficStream.java
@@ -20,6 +20,7 @@
 final class TrafficStream {
 
   private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final int FIRST_ATTEMPT = 1;
   private static final String FILLER =
       "the line stands still until the syrup is changed and the labels are checked again ";
 
@@ -73,6 +74,7 @@
         Optional.ofNullable(settings.accounts().get(traffic.account())).map(Account::key);
     return new PlannedRequest(
         identifier,
+        FIRST_ATTEMPT,
         time,
         traffic,
         key,
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/result/AccountBound.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/result/AccountBound.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.load.result;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.parsleyhead.load.settings.LoadSettings.Account;
@@ -15,6 +16,8 @@
  * @param requests how many requests it sent
  * @param refusedForRate how many were refused with 429
  * @param wrongfullyRefused how many of those would have fitted
+ * @param withinRate how many of all requests were inside rate and burst, had none been refused
+ * @param answeredWithinRate how many of those were answered
  * @param peakOverBurst the highest fill of the bucket over the burst
  */
 public record AccountBound(
@@ -22,6 +25,8 @@
     long requests,
     long refusedForRate,
     long wrongfullyRefused,
+    long withinRate,
+    long answeredWithinRate,
     double peakOverBurst) {
 
   private static final int TOO_MANY_REQUESTS = 429;
@@ -34,6 +39,7 @@
             .filter(outcome -> outcome.group().account().equals(account.name()))
             .sorted(Comparator.comparingLong(Outcome::dueNanoseconds))
             .toList();
+    List<Outcome> within = withinRate(account, own);
     double fill = 0;
     double peak = 0;
     long time = 0;
@@ -53,6 +59,29 @@
       }
     }
     return new AccountBound(
-        account.name(), own.size(), refused, wrongful, peak / account.burstTokens());
+        account.name(),
+        own.size(),
+        refused,
+        wrongful,
+        within.size(),
+        within.stream().filter(outcome -> outcome.end() == Outcome.End.ANSWERED).count(),
+        peak / account.burstTokens());
+  }
+
+  private static List<Outcome> withinRate(Account account, List<Outcome> own) {
+    List<Outcome> within = new ArrayList<>();
+    double fill = 0;
+    long time = 0;
+    for (Outcome outcome : own) {
+      double elapsed = (outcome.dueNanoseconds() - time) / NANOSECONDS_PER_SECOND;
+      time = outcome.dueNanoseconds();
+      fill = Math.max(0, fill - elapsed * account.tokensPerSecond());
+      long asked = outcome.promptTokens() + outcome.maximumTokens();
+      if (fill + asked <= account.burstTokens()) {
+        fill += asked;
+        within.add(outcome);
+      }
+    }
+    return within;
   }
 }
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/result/Outcome.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/result/Outcome.java
@@ -11,6 +11,7 @@
  * also if it was sent later.
  *
  * @param identifier the identity of the request
+ * @param attempt which sending of the request this was, from one
  * @param group the group of its figures
  * @param end how it ended
  * @param model the model that was asked for
@@ -18,6 +19,7 @@
  * @param target the entry host
  * @param idempotent whether it may be repeated
  * @param refusalExpected whether it had to be refused
+ * @param dueMilliseconds when it was due, in milliseconds since the epoch
  * @param dueNanoseconds when it was due, from the start of the run
  * @param lateNanoseconds how late it was sent
  * @param firstNanoseconds when the first token came; -1 if none came
@@ -32,6 +34,7 @@
  */
 public record Outcome(
     String identifier,
+    int attempt,
     Group group,
     End end,
     String model,
@@ -39,6 +42,7 @@
     String target,
     boolean idempotent,
     boolean refusalExpected,
+    long dueMilliseconds,
     long dueNanoseconds,
     long lateNanoseconds,
     long firstNanoseconds,
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/result/OutcomeCodec.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/result/OutcomeCodec.java
@@ -24,6 +24,7 @@
   public static String encode(Outcome outcome) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("identifier", outcome.identifier());
+    node.put("attempt", outcome.attempt());
     node.put("account", outcome.group().account());
     node.put("class", outcome.group().trafficClass());
     node.put("kind", outcome.group().kind());
@@ -33,6 +34,7 @@
     node.put("target", outcome.target());
     node.put("idempotent", outcome.idempotent());
     node.put("refusal_expected", outcome.refusalExpected());
+    node.put("due_milliseconds", outcome.dueMilliseconds());
     node.put("due_nanoseconds", outcome.dueNanoseconds());
     node.put("late_nanoseconds", outcome.lateNanoseconds());
     node.put("first_nanoseconds", outcome.firstNanoseconds());
@@ -56,6 +58,7 @@
     JsonNode node = parse(line);
     return new Outcome(
         node.path("identifier").asText(),
+        node.path("attempt").asInt(),
         new Outcome.Group(
             node.path("account").asText(), node.path("class").asText(), node.path("kind").asText()),
         Outcome.End.valueOf(node.path("end").asText().toUpperCase(Locale.ROOT)),
@@ -64,6 +67,7 @@
         node.path("target").asText(),
         node.path("idempotent").asBoolean(),
         node.path("refusal_expected").asBoolean(),
+        node.path("due_milliseconds").asLong(),
         node.path("due_nanoseconds").asLong(),
         node.path("late_nanoseconds").asLong(),
         node.path("first_nanoseconds").asLong(),
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/result/RunReport.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/result/RunReport.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.parsleyhead.load.result.LatencyFigures.Measure;
 import org.parsleyhead.load.settings.LoadSettings;
 
@@ -45,6 +46,7 @@
         .filter(account -> account.tokensPerSecond() > 0)
         .sorted(Comparator.comparing(LoadSettings.Account::name))
         .forEach(account -> lines.add(boundLine(AccountBound.of(account, outcomes))));
+    lines.addAll(fairnessLines(totals, figures));
     outcomes.stream()
         .filter(outcome -> outcome.end() == Outcome.End.WRONG)
         .limit(WRONG_LINES)
@@ -98,9 +100,38 @@
         .with("requests", bound.requests())
         .with("refused_for_rate", bound.refusedForRate())
         .with("wrongfully_refused", bound.wrongfullyRefused())
+        .with("within_rate", bound.withinRate())
+        .with("answered_within_rate", bound.answeredWithinRate())
         .with("peak_over_burst", bound.peakOverBurst());
   }
 
+  private static List<ReportLine> fairnessLines(RunTotals totals, LatencyFigures figures) {
+    Map<String, List<Outcome.Group>> classes =
+        totals.groups().keySet().stream()
+            .filter(group -> figures.percentile(group, Measure.FIRST_TOKEN, 95) > 0)
+            .collect(Collectors.groupingBy(Outcome.Group::trafficClass, Collectors.toList()));
+    return classes.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .map(entry -> fairnessLine(entry.getKey(), entry.getValue(), figures))
+        .toList();
+  }
+
+  private static ReportLine fairnessLine(
+      String trafficClass, List<Outcome.Group> groups, LatencyFigures figures) {
+    Comparator<Outcome.Group> byPercentile =
+        Comparator.comparingDouble(group -> figures.percentile(group, Measure.FIRST_TOKEN, 95));
+    List<Outcome.Group> sorted = groups.stream().sorted(byPercentile).toList();
+    Outcome.Group worst = sorted.get(sorted.size() - 1);
+    Outcome.Group median = sorted.get((sorted.size() - 1) / 2);
+    return ReportLine.of("fairness")
+        .with("class", trafficClass)
+        .with("worst_account", worst.account())
+        .with(
+            "first_token_p95_over_median",
+            figures.percentile(worst, Measure.FIRST_TOKEN, 95)
+                / figures.percentile(median, Measure.FIRST_TOKEN, 95));
+  }
+
   private static ReportLine wrongLine(Outcome outcome) {
     return ReportLine.of("wrong")
         .with("identifier", outcome.identifier())
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/settings/LoadSettings.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/settings/LoadSettings.java
@@ -12,6 +12,7 @@
  *
  * @param seed the seed of everything random
  * @param duration how long requests are scheduled
+ * @param warmUp how long latencies are not yet measured; answers are checked from the start
  * @param targets the entry hosts
  * @param targetChoice how a target is chosen for each request
  * @param movingInterval how long a client account stays at one target if the choice moves
@@ -24,6 +25,7 @@
 public record LoadSettings(
     long seed,
     Duration duration,
+    Duration warmUp,
     List<Endpoint> targets,
     TargetChoice targetChoice,
     Duration movingInterval,
@@ -99,6 +101,7 @@
    * @param idempotent whether its calls may be repeated
    * @param idempotencyKeys whether its calls carry idempotency keys
    * @param refusalExpected whether each request must be refused
+   * @param repetition how its requests are sent again
    */
   public record Traffic(
       String name,
@@ -115,7 +118,17 @@
       Range outputTokens,
       boolean idempotent,
       boolean idempotencyKeys,
-      boolean refusalExpected) {}
+      boolean refusalExpected,
+      Repetition repetition) {}
+
+  /**
+   * How callers, or a balancer before the entry hosts, send a request again through another target.
+   *
+   * @param probability the fraction of requests that are sent twice, whatever becomes of the first
+   * @param delay how long after the first the second is sent
+   * @param retries how often a request is sent again after its connection failed
+   */
+  public record Repetition(double probability, Duration delay, int retries) {}
 
   /** A range of lengths, both ends included; lengths are spread evenly over their logarithms. */
   public record Range(int minimum, int maximum) {}
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/settings/LoadSettingsReader.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/settings/LoadSettingsReader.java
@@ -13,6 +13,7 @@
 import org.parsleyhead.load.settings.LoadSettings.Kind;
 import org.parsleyhead.load.settings.LoadSettings.Phase;
 import org.parsleyhead.load.settings.LoadSettings.Range;
+import org.parsleyhead.load.settings.LoadSettings.Repetition;
 import org.parsleyhead.load.settings.LoadSettings.TargetChoice;
 import org.parsleyhead.load.settings.LoadSettings.Traffic;
 import org.parsleyhead.runtime.settings.SettingsReader;
@@ -51,6 +52,7 @@
         new LoadSettings(
             reader.number("seed", 0, Long.MAX_VALUE, 1),
             reader.duration("duration", Duration.ofSeconds(10)),
+            reader.duration("warm_up", Duration.ZERO),
             targets(),
             constant("target_choice", TargetChoice.values(), TargetChoice.EVEN),
             reader.duration("moving_interval", Duration.ofSeconds(5)),
@@ -120,7 +122,11 @@
         range(table + ".output_tokens", 16, 64, LONGEST_OUTPUT_TOKENS),
         reader.flag(table + ".idempotent", false),
         reader.flag(table + ".idempotency_keys", true),
-        reader.flag(table + ".refusal_expected", false));
+        reader.flag(table + ".refusal_expected", false),
+        new Repetition(
+            reader.fraction(table + ".repeat_probability", 0, 1, 0),
+            reader.duration(table + ".repeat_delay", Duration.ZERO),
+            (int) reader.number(table + ".retries", 0, 10, 0)));
   }
 
   private Range range(String path, int minimum, int maximum, int limit) {
--- a/parsleyhead-load/src/test/java/org/parsleyhead/load/compare/LedgerComparisonTests.java
+++ b/parsleyhead-load/src/test/java/org/parsleyhead/load/compare/LedgerComparisonTests.java
@@ -53,6 +53,27 @@
             List.of(call(Outcome.End.REFUSED, "not_run")), List.of(run("call", "finished", ""))));
   }
 
+  @Test
+  @DisplayName("accepts not_run of one attempt where another one ran")
+  void acceptsRefusedRepetition() {
+    assertEquals(
+        List.of(),
+        compare(
+            List.of(call(Outcome.End.ANSWERED, ""), call(Outcome.End.REFUSED, "not_run")),
+            List.of(run("call", "finished", ""))));
+  }
+
+  @Test
+  @DisplayName("counts a wait as a stall if the adapter was loaded on that engine meanwhile")
+  void findsStalls() {
+    Outcome due = outcome("chat", "a@1", Outcome.End.ANSWERED, "");
+    LedgerEntry run = entry("completion", "finished", "a@1", "", 400, 500);
+    LedgerEntry load = entry("load", "finished", "a@1", "", 100, 350);
+    LedgerEntry other = entry("load", "finished", "b@1", "", 100, 350);
+    assertEquals(List.of(400L), StallFigures.of(List.of(due), List.of(load, run)).stalled());
+    assertEquals(List.of(400L), StallFigures.of(List.of(due), List.of(other, run)).resident());
+  }
+
   @Test
   @DisplayName("finds an answer without a run and a run of another version")
   void findsWrongRuns() {
@@ -96,6 +117,7 @@
   private static Outcome outcome(String kind, String model, Outcome.End end, String run) {
     return new Outcome(
         "run-1",
+        1,
         new Outcome.Group("a", "interactive", kind),
         end,
         model,
@@ -105,6 +127,7 @@
         false,
         0,
         0,
+        0,
         -1,
         1,
         1,
@@ -121,6 +144,11 @@
   }
 
   private static LedgerEntry entry(String kind, String outcome, String model, String header) {
+    return entry(kind, outcome, model, header, 0, 0);
+  }
+
+  private static LedgerEntry entry(
+      String kind, String outcome, String model, String header, long start, long end) {
     return new LedgerEntry(
         "upstream-1",
         kind,
@@ -130,8 +158,8 @@
         Optional.empty(),
         "digest",
         List.of(new HeaderField("Authorization", header)),
-        0,
-        0,
+        start,
+        end,
         outcome,
         0,
         0,
--- a/parsleyhead-load/src/test/java/org/parsleyhead/load/plan/ScheduleTests.java
+++ b/parsleyhead-load/src/test/java/org/parsleyhead/load/plan/ScheduleTests.java
@@ -86,6 +86,22 @@
     assertEquals(2, targets("moving", request -> true));
   }
 
+  @Test
+  @DisplayName("sends repeated requests again through the other target")
+  void repeats() {
+    var settings =
+        LoadSettingsReader.read(
+            SETTINGS
+                .replace("CHOICE", "skewed")
+                .replace("[traffic.other]", "repeat_probability = 1.0\n[traffic.other]"));
+    List<PlannedRequest> requests = new ArrayList<>();
+    new Schedule(settings, "run").forEachRemaining(requests::add);
+    List<PlannedRequest> chats = requests.stream().filter(ScheduleTests::isChat).toList();
+    assertEquals(
+        chats.size(), 2 * chats.stream().filter(request -> request.attempt() == 2).count());
+    assertEquals(2, chats.stream().map(PlannedRequest::target).distinct().count());
+  }
+
   @Test
   @DisplayName("differs for another run")
   void differsForRuns() {
--- a/parsleyhead-load/src/test/java/org/parsleyhead/load/result/AccountBoundTests.java
+++ b/parsleyhead-load/src/test/java/org/parsleyhead/load/result/AccountBoundTests.java
@@ -42,6 +42,7 @@
   private static Outcome outcome(long second, int tokens, int maximumTokens, int status) {
     return new Outcome(
         "run-1",
+        1,
         new Outcome.Group("a", "interactive", "chat"),
         status == 200 ? Outcome.End.ANSWERED : Outcome.End.REFUSED,
         "m",
@@ -49,6 +50,7 @@
         "127.0.0.1:1",
         false,
         false,
+        0,
         second * 1_000_000_000L,
         0,
         -1,
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
@@ -53,7 +53,7 @@
         .ifPresent(standins::add);
     settings
         .hosts()
-        .map(endpoint -> PublicationService.hosts(endpoint, environment))
+        .map(endpoint -> PublicationService.hosts(endpoint, settings.hostsLag(), environment))
         .ifPresent(standins::add);
     settings
         .weights()
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
@@ -176,6 +176,11 @@
       if (standin instanceof PublicationService publication) {
         entry.put("waiting_watches", publication.waitingWatches());
       }
+      if (standin instanceof EngineService engine) {
+        EngineService.Counts counts = engine.counts();
+        entry.put("steps", counts.steps()).put("tokens", counts.tokens());
+        entry.put("loads", counts.loads()).put("adapters", counts.adapters());
+      }
       if (standin instanceof WeightStore store) {
         entry.put("refused", store.refused());
       }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/CompletionWriter.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/CompletionWriter.java
@@ -14,33 +14,48 @@
   /** The last event of a stream. */
   static final String DONE = "data: [DONE]\n\n";
 
+  private static final String PLACEHOLDER = "TOKEN";
+
   private final String identifier;
   private final long createdSeconds;
   private final CompletionRequest request;
   private final TokenSequence tokens;
+  private final String beforeToken;
+  private final String afterToken;
 
   CompletionWriter(String requestIdentifier, long createdSeconds, CompletionRequest request) {
     this.identifier = (request.chat() ? "chatcmpl-" : "cmpl-") + requestIdentifier;
     this.createdSeconds = createdSeconds;
     this.request = request;
     this.tokens = request.tokens();
+    String pattern = event(tokenDocument(PLACEHOLDER, false));
+    int place = pattern.lastIndexOf(PLACEHOLDER);
+    this.beforeToken = pattern.substring(0, place);
+    this.afterToken = pattern.substring(place + PLACEHOLDER.length());
   }
 
   /** Returns the event of one token. */
   String tokenEvent(int number) {
+    if (number == 0 && request.chat()) {
+      return event(tokenDocument(tokens.text(0), true));
+    }
+    return beforeToken + tokens.text(number) + afterToken;
+  }
+
+  private ObjectNode tokenDocument(String text, boolean role) {
     ObjectNode document = document(request.chat() ? "chat.completion.chunk" : "text_completion");
     ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
     if (request.chat()) {
       ObjectNode delta = choice.putObject("delta");
-      if (number == 0) {
+      if (role) {
         delta.put("role", "assistant");
       }
-      delta.put("content", tokens.text(number));
+      delta.put("content", text);
     } else {
-      choice.put("text", tokens.text(number));
+      choice.put("text", text);
     }
     choice.putNull("finish_reason");
-    return event(document);
+    return document;
   }
 
   /** Returns the events at the end of a stream. */
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineCore.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineCore.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
+import java.util.function.Predicate;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.api.Transition;
@@ -106,14 +106,23 @@
   }
 
   private static Step<EngineState, EngineEffect> cancel(EngineState state, long exchange) {
-    List<EngineEffect> effects = new ArrayList<>();
-    Stream.concat(state.running().stream(), state.waiting().stream())
-        .filter(sequence -> sequence.exchange() == exchange)
-        .map(sequence -> new EngineEffect.Cancelled(exchange, sequence.next(), false))
-        .forEach(effects::add);
     return new Step<>(
         state.withSequences(without(state.running(), exchange), without(state.waiting(), exchange)),
-        effects);
+        departures(state, sequence -> sequence.exchange() == exchange, false));
+  }
+
+  private static List<EngineEffect> departures(
+      EngineState state, Predicate<Sequence> leaving, boolean resets) {
+    List<EngineEffect> effects = new ArrayList<>();
+    state.running().stream()
+        .filter(leaving)
+        .map(sequence -> new EngineEffect.Cancelled(sequence.exchange(), sequence.next(), resets))
+        .forEach(effects::add);
+    state.waiting().stream()
+        .filter(leaving)
+        .map(sequence -> new EngineEffect.Withdrawn(sequence.exchange(), resets))
+        .forEach(effects::add);
+    return effects;
   }
 
   private static List<Sequence> without(List<Sequence> sequences, long exchange) {
@@ -121,13 +130,9 @@
   }
 
   private Step<EngineState, EngineEffect> restart(EngineState state) {
-    List<EngineEffect> effects = new ArrayList<>();
-    Stream.concat(state.running().stream(), state.waiting().stream())
-        .map(sequence -> new EngineEffect.Cancelled(sequence.exchange(), sequence.next(), true))
-        .forEach(effects::add);
     EngineState fresh =
         EngineState.initial(settings).withMode(state.mode()).withTotals(state.totals());
-    return new Step<>(fresh, effects);
+    return new Step<>(fresh, departures(state, sequence -> true, true));
   }
 
   private static boolean isUnavailable(EngineState state) {
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineEffect.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineEffect.java
@@ -22,6 +22,9 @@
   /** A request left the batch before its answer was whole. */
   record Cancelled(long exchange, int nextToken, boolean resets) implements EngineEffect {}
 
+  /** A request left the queue before any of it ran. */
+  record Withdrawn(long exchange, boolean resets) implements EngineEffect {}
+
   /** An order was carried out. */
   record OrderDone(long exchange, String message) implements EngineEffect {}
 
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/EngineService.java
@@ -96,6 +96,23 @@
     return duty.state().totals().arrivals();
   }
 
+  /** Returns what has happened since the start of the process. */
+  public Counts counts() {
+    EngineState.Totals totals = duty.state().totals();
+    return new Counts(
+        totals.steps(), totals.tokens(), totals.loads(), duty.state().adapters().size());
+  }
+
+  /**
+   * What has happened on an engine.
+   *
+   * @param steps how many steps ended
+   * @param tokens how many tokens were generated
+   * @param loads how many loads began
+   * @param adapters how many adapters are resident or loading
+   */
+  public record Counts(long steps, long tokens, long loads, int adapters) {}
+
   /** Restarts the engine: connections are reset, adapters are gone, first steps are slow. */
   public void restart() {
     offer(new EngineEvent.Restart());
@@ -200,6 +217,10 @@
       completions
           .remove(cancelled.exchange())
           .ifPresent(completion -> cancel(completion, cancelled));
+    } else if (effect instanceof EngineEffect.Withdrawn withdrawn) {
+      completions
+          .remove(withdrawn.exchange())
+          .ifPresent(completion -> withdraw(completion, withdrawn));
     } else if (effect instanceof EngineEffect.Schedule schedule) {
       environment
           .timer()
@@ -244,6 +265,13 @@
     }
   }
 
+  private void withdraw(RunningCompletion completion, EngineEffect.Withdrawn withdrawn) {
+    ledger.record(completion.entry("withdrawn", 0, ""));
+    if (withdrawn.resets()) {
+      completion.exchange().reset();
+    }
+  }
+
   private void refuse(EngineEffect.Refuse refuse) {
     HttpAnswer answer =
         withRetryAfter(
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/TokenSequence.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/TokenSequence.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import org.parsleyhead.standin.ledger.ContentDigest;
 
 /**
@@ -34,7 +35,8 @@
 
   /** Returns a token, with a space at its end. */
   public String text(int number) {
-    return String.format("%d:%08x ", number, (int) (mix(seed + number * MULTIPLIER) >>> 32));
+    int hash = (int) (mix(seed + number * MULTIPLIER) >>> 32);
+    return number + ":" + HexFormat.of().toHexDigits(hash) + " ";
   }
 
   /** Returns the tokens from one number up to but not including another. */
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/ledger/LedgerEntry.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/ledger/LedgerEntry.java
@@ -19,7 +19,7 @@
  * @param headers all header fields of the request
  * @param startMilliseconds when it started, in milliseconds since the epoch
  * @param endMilliseconds when it ended, in milliseconds since the epoch
- * @param outcome {@code finished}, {@code cancelled}, {@code refused}, {@code failed}, {@code
+ * @param outcome {@code finished}, {@code cancelled}, {@code refused}, {@code withdrawn}, {@code
  *     violation}
  * @param promptTokens the length of the prompt in tokens
  * @param firstToken the number of the first token that was generated
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationService.java
@@ -29,6 +29,7 @@
   private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
   private final String kind;
+  private final Duration lag;
   private final PublicationRouter router;
   private final StandinEnvironment environment;
   private final HttpListener listener;
@@ -36,8 +37,13 @@
   private final Duty<PublicationState, PublicationEvent, PublicationEffect> duty;
 
   private PublicationService(
-      String kind, Endpoint endpoint, PublicationRouter router, StandinEnvironment environment) {
+      String kind,
+      Endpoint endpoint,
+      Duration lag,
+      PublicationRouter router,
+      StandinEnvironment environment) {
     this.kind = kind;
+    this.lag = lag;
     this.router = router;
     this.environment = environment;
     this.listener = new HttpListener(environment.group(), endpoint, this::handle);
@@ -58,12 +64,13 @@
   public static PublicationService configuration(
       Endpoint endpoint, StandinEnvironment environment) {
     return new PublicationService(
-        "configuration", endpoint, PublicationRouter::configuration, environment);
+        "configuration", endpoint, Duration.ZERO, PublicationRouter::configuration, environment);
   }
 
-  /** Starts a host list whose listener is not yet open. */
-  public static PublicationService hosts(Endpoint endpoint, StandinEnvironment environment) {
-    return new PublicationService("hosts", endpoint, PublicationRouter::hosts, environment);
+  /** Starts a host list, whose changes are seen after a lag and whose listener is not yet open. */
+  public static PublicationService hosts(
+      Endpoint endpoint, Duration lag, StandinEnvironment environment) {
+    return new PublicationService("hosts", endpoint, lag, PublicationRouter::hosts, environment);
   }
 
   /** Sets a value. */
@@ -78,8 +85,13 @@
    */
   public void putHosts(byte[] document) {
     long version = HostListCodec.decode(document).version();
-    offer(
-        new PublicationEvent.Put(PublicationRouter.HOSTS_PATH, document, OptionalLong.of(version)));
+    PublicationEvent event =
+        new PublicationEvent.Put(PublicationRouter.HOSTS_PATH, document, OptionalLong.of(version));
+    if (lag.isZero()) {
+      offer(event);
+    } else {
+      environment.timer().after(lag, () -> offer(event));
+    }
   }
 
   /** Removes a value. */
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
@@ -16,6 +16,7 @@
  * @param administration the endpoint of the administration
  * @param configuration the endpoint of the configuration service
  * @param hosts the endpoint of the host list
+ * @param hostsLag how long a new host list is not yet seen
  * @param weights the weight store of this process
  * @param weightStore the weight store that the engines use, possibly of another process
  * @param engines the engines
@@ -27,6 +28,7 @@
     Endpoint administration,
     Optional<Endpoint> configuration,
     Optional<Endpoint> hosts,
+    Duration hostsLag,
     Optional<Weights> weights,
     Optional<Endpoint> weightStore,
     List<Engine> engines,
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
@@ -47,6 +47,7 @@
             endpoint("administration"),
             optionalEndpoint("configuration"),
             optionalEndpoint("hosts"),
+            reader.duration("hosts.lag", Duration.ZERO),
             weights(),
             weightStore(),
             reader.names("engine").stream().map(this::engine).toList(),
