--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/ProxyConnection.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/ProxyConnection.java
@@ -33,7 +33,11 @@
   /** Begins to pass bytes on, once the connection to the target is open. */
   void joined(Channel targetChannel) {
     target = targetChannel;
-    applyReading();
+    if (caller.isActive()) {
+      applyReading();
+    } else {
+      callerClosed();
+    }
   }
 
   /** Puts another fault in force. */
