Protocol tests of whole fleets; gaps, missing adapters, late orders

Ruled out: counting a regained right from before any gap (another host may have settled meanwhile).

Change: a gap shorter than the lifetime of an order does not restart the wait of an owner; a release tells that an adapter was missing, and the owner reads the engine before it grants again. Iteration orders no longer differ between runs.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
@@ -154,10 +154,15 @@
   private static void writePinRelease(PinRelease message, MessagePacker packer) throws IOException {
     packer.packString(message.engine().text()).packLong(message.throughNumber());
     writeAdapters(message.adapters(), packer);
+    packer.packBoolean(message.missing());
   }
 
   private static PinRelease readPinRelease(MessageUnpacker unpacker) throws IOException {
-    return new PinRelease(readEngine(unpacker), unpacker.unpackLong(), readAdapters(unpacker));
+    return new PinRelease(
+        readEngine(unpacker),
+        unpacker.unpackLong(),
+        readAdapters(unpacker),
+        unpacker.unpackBoolean());
   }
 
   private static void writePinRecall(PinRecall message, MessagePacker packer) throws IOException {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Acquisition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Acquisition.java
@@ -13,15 +13,16 @@
  *
  * <p>The right is exclusive while all other members attest, at the list version of the acquisition
  * or a later one, that they do not use what belongs to this host, and while this host may claim
- * from each dropped host that preceded it. Any gap, also one that was slept through, starts the
- * count anew.
+ * from each dropped host that preceded it. A gap that is shorter than the tolerance does not
+ * matter, since no other host could have settled in it; any longer one, also one that was slept
+ * through, starts the count anew.
  *
  * <p>Immutable and thread-safe.
  *
  * @param key the rendezvous key
  * @param version the list version at which this host became the first in the order
- * @param exclusiveSince since when the right has been exclusive without a gap; empty if it is not
- * @param coveredUntil until when the attestations last seen cover it
+ * @param exclusiveSince since when the right has been exclusive without a gap that matters
+ * @param coveredUntil until when the attestations that were last complete cover it
  */
 record Acquisition(
     String key, long version, Optional<MonotonicTime> exclusiveSince, MonotonicTime coveredUntil) {
@@ -37,20 +38,21 @@
   }
 
   /** Returns this acquisition after a look at the attestations. */
-  Acquisition observe(Standing standing, MonotonicTime time) {
+  Acquisition observe(Standing standing, Duration gapTolerance, MonotonicTime time) {
+    boolean gapMatters =
+        standing.members().size() > 1 && !time.isBefore(coveredUntil.plus(gapTolerance));
+    Optional<MonotonicTime> kept = gapMatters ? Optional.empty() : exclusiveSince;
     if (!isExclusiveNow(standing, time)) {
-      return new Acquisition(key, version, Optional.empty(), time);
+      return new Acquisition(key, version, kept, coveredUntil);
     }
-    boolean unbroken = exclusiveSince.isPresent() && isCovered(standing, time);
     return new Acquisition(
-        key, version, unbroken ? exclusiveSince : Optional.of(time), coveredUntil(standing, time));
+        key, version, kept.or(() -> Optional.of(time)), coveredUntil(standing, time));
   }
 
-  /** Tells whether the right has been exclusive for a duration and still is. */
+  /** Tells whether the right has been exclusive for a duration and is so now. */
   boolean isExclusiveFor(Duration duration, Standing standing, MonotonicTime time) {
     return exclusiveSince.isPresent()
         && !time.isBefore(exclusiveSince.get().plus(duration))
-        && isCovered(standing, time)
         && isExclusiveNow(standing, time);
   }
 
@@ -76,8 +78,4 @@
         .min(MonotonicTime::compareTo)
         .orElse(time);
   }
-
-  private boolean isCovered(Standing standing, MonotonicTime time) {
-    return standing.members().size() <= 1 || time.isBefore(coveredUntil);
-  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OrderBook.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OrderBook.java
@@ -12,7 +12,7 @@
  *
  * @param pending the order whose answer is awaited
  * @param permit the permit for the next transfer, asked for or granted
- * @param unknownSince if the outcome of an order is unknown: since when
+ * @param unknownSince if it is not known what the engine holds: since when
  * @param readingSince if a reading is under way: since when
  * @param fencingRetries how often the engine refused the fencing number
  */
@@ -79,6 +79,10 @@
     return new OrderBook(Optional.empty(), permit, unknown, readingSince, retries);
   }
 
+  OrderBook doubted(MonotonicTime time) {
+    return new OrderBook(pending, permit, Optional.of(time), readingSince, fencingRetries);
+  }
+
   OrderBook reading(MonotonicTime time) {
     return new OrderBook(pending, permit, unknownSince, Optional.of(time), fencingRetries);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipSettings.java
@@ -45,6 +45,8 @@
     Preconditions.requirePositive(maximumTransfers, "maximumTransfers");
     Preconditions.require(
         pinDuration.compareTo(clockMargin) > 0, "pinDuration", "must exceed the clock margin");
+    Preconditions.require(
+        orderLifetime.compareTo(clockMargin) > 0, "orderLifetime", "must exceed the clock margin");
   }
 
   /** Returns settings for an allowance of the weight store. */
@@ -66,9 +68,17 @@
         Duration.ofSeconds(60));
   }
 
-  /** Returns how long a new owner waits before it uses what a former owner may still use. */
+  /**
+   * Returns how long a new owner waits before it uses what a former owner may still use: until
+   * nobody attests to that one any more and its last orders have arrived.
+   */
   public Duration settling() {
-    return attestation.compareTo(orderLifetime) > 0 ? attestation : orderLifetime;
+    return attestation.plus(orderLifetime);
+  }
+
+  /** Returns how long an owner may lack attestations before another one may have settled. */
+  public Duration gapTolerance() {
+    return orderLifetime.minus(clockMargin);
   }
 
   /** Returns how long after a grant the owner counts a pin as valid. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipTransition.java
@@ -98,23 +98,26 @@
     return state.withOwned(owned).step(effects);
   }
 
-  private static OwnedEngine own(OwnershipState state, UpstreamItem item, MonotonicTime time) {
+  private OwnedEngine own(OwnershipState state, UpstreamItem item, MonotonicTime time) {
     OwnedEngine known = state.owned().get(item.name());
     if (known != null) {
       return known.withItem(item);
     }
     Acquisition acquisition =
         Acquisition.begin(state.standing(), item.name().text(), time)
-            .observe(state.standing(), time);
+            .observe(state.standing(), settings.gapTolerance(), time);
     return OwnedEngine.acquired(item, acquisition);
   }
 
-  private static OwnershipState observe(OwnershipState state, MonotonicTime time) {
+  private OwnershipState observe(OwnershipState state, MonotonicTime time) {
     Standing standing = state.standing();
-    OwnershipState observed = state.withKeeper(state.keeper().observe(standing, time));
+    OwnershipState observed =
+        state.withKeeper(state.keeper().observe(standing, settings.gapTolerance(), time));
     for (OwnedEngine engine : state.owned().values()) {
       observed =
-          observed.with(engine.withAcquisition(engine.acquisition().observe(standing, time)));
+          observed.with(
+              engine.withAcquisition(
+                  engine.acquisition().observe(standing, settings.gapTolerance(), time)));
     }
     return observed;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PermitKeeper.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PermitKeeper.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.engine;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -54,14 +55,18 @@
   }
 
   /** Returns the keeper after a look at the list and the attestations. */
-  PermitKeeper observe(Standing standing, MonotonicTime time) {
+  PermitKeeper observe(Standing standing, Duration gapTolerance, MonotonicTime time) {
     if (!Acquisition.belongsToSelf(standing, RENDEZVOUS_KEY)) {
       return empty(time);
     }
     Acquisition held =
         acquisition.orElseGet(() -> Acquisition.begin(standing, RENDEZVOUS_KEY, time));
     return new PermitKeeper(
-        Optional.of(held.observe(standing, time)), allowance, refilled, inFlight, queue);
+        Optional.of(held.observe(standing, gapTolerance, time)),
+        allowance,
+        refilled,
+        inFlight,
+        queue);
   }
 
   /** Returns the keeper with a request queued; it keeps the place of the one that it replaces. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
@@ -68,7 +68,7 @@
     return state.with(current).step(effects);
   }
 
-  /** Takes pins back. */
+  /** Takes pins back; an engine that lost adapters is read before the next order. */
   Step<OwnershipState, EngineEffect> release(
       OwnershipState state, Sender sender, PinRelease release, MonotonicTime time) {
     OwnedEngine engine = state.owned().get(release.engine());
@@ -77,11 +77,20 @@
     }
     PinTable pins = engine.pins();
     PMap<AdapterReference, Demand> demands = engine.demands();
+    Residency residency = engine.residency();
     for (AdapterReference adapter : release.adapters()) {
       pins = pins.release(adapter, sender, release.throughNumber(), time);
       demands = withdraw(demands, adapter, sender, release.throughNumber());
+      residency = release.missing() ? residency.without(adapter, time) : residency;
     }
-    return Step.of(state.with(engine.withPins(pins).withDemands(demands)));
+    OrderBook orders = release.missing() ? engine.orders().doubted(time) : engine.orders();
+    return Step.of(
+        state.with(
+            engine
+                .withPins(pins)
+                .withDemands(demands)
+                .withResidency(residency)
+                .withOrders(orders)));
   }
 
   /** Grants pins to the hosts that waited for adapters that are now resident. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinRelease.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinRelease.java
@@ -15,8 +15,10 @@
  * @param engine the engine
  * @param throughNumber the highest number of a pin request that it covers
  * @param adapters the adapters
+ * @param missing whether the engine was found without the adapters
  */
-public record PinRelease(UpstreamName engine, long throughNumber, List<AdapterReference> adapters)
+public record PinRelease(
+    UpstreamName engine, long throughNumber, List<AdapterReference> adapters, boolean missing)
     implements PeerMessage {
 
   /** Checks and copies the parts. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinTable.java
@@ -1,8 +1,8 @@
 package org.parsleyhead.core.engine;
 
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import org.parsleyhead.core.api.AdapterReference;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -98,11 +98,13 @@
         : held.or(() -> ended);
   }
 
-  /** Returns the hosts that may hold a pin on an adapter. */
-  Set<HostName> holders(AdapterReference adapter) {
-    return pins.getOrDefault(adapter, HashTreePMap.empty()).keySet().stream()
-        .map(Sender::host)
-        .collect(Collectors.toUnmodifiableSet());
+  /** Returns the hosts that may hold a pin on an adapter, in the order of their names. */
+  SortedSet<HostName> holders(AdapterReference adapter) {
+    SortedSet<HostName> holders = new TreeSet<>();
+    pins.getOrDefault(adapter, HashTreePMap.empty())
+        .keySet()
+        .forEach(holder -> holders.add(holder.host()));
+    return holders;
   }
 
   private PinTable remove(AdapterReference adapter, Sender holder, MonotonicTime end) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
@@ -29,6 +29,7 @@
 final class PinClient {
 
   private static final Duration RECALL_PAUSE = Duration.ofSeconds(2);
+  private static final Duration MISSING_PAUSE = Duration.ofMillis(50);
 
   private final SchedulingSettings settings;
   private final PlacementChoice placements;
@@ -86,7 +87,7 @@
         : Step.of(
             current,
             new SchedulingEffect.Send(
-                owner, new PinRelease(grant.engine(), grant.number(), unwanted)));
+                owner, new PinRelease(grant.engine(), grant.number(), unwanted, false)));
   }
 
   /** Takes up a refusal; a pin that is still valid stays. */
@@ -107,14 +108,21 @@
   /** Releases a pin that its owner wants back. */
   Step<SchedulingState, SchedulingEffect> recalled(
       SchedulingState state, PinRecall recall, MonotonicTime time) {
-    return release(state, recall.engine(), recall.adapter(), time.plus(RECALL_PAUSE), time);
+    return release(state, recall.engine(), recall.adapter(), false, time.plus(RECALL_PAUSE), time);
   }
 
-  /** Releases a pin, for example after the engine was found without the adapter. */
+  /** Gives up a pin whose engine was found without the adapter. */
+  Step<SchedulingState, SchedulingEffect> missing(
+      SchedulingState state, UpstreamName engine, AdapterReference adapter, MonotonicTime time) {
+    return release(state, engine, adapter, true, time.plus(MISSING_PAUSE), time);
+  }
+
+  /** Releases a pin, and tells if the engine was found without the adapter. */
   Step<SchedulingState, SchedulingEffect> release(
       SchedulingState state,
       UpstreamName engine,
       AdapterReference adapter,
+      boolean missing,
       MonotonicTime retryAt,
       MonotonicTime time) {
     AdapterView view = state.adapter(adapter, time);
@@ -133,7 +141,7 @@
             unpinned,
             new SchedulingEffect.Send(
                 owner.get(),
-                new PinRelease(engine, placement.asked().getAsLong(), List.of(adapter))));
+                new PinRelease(engine, placement.asked().getAsLong(), List.of(adapter), missing)));
   }
 
   /** Renews used pins, one message for each engine, and releases unused ones. */
@@ -160,7 +168,7 @@
 
   private Step<SchedulingState, SchedulingEffect> forget(
       SchedulingState state, UpstreamName engine, AdapterReference adapter, MonotonicTime time) {
-    return release(state, engine, adapter, time, time)
+    return release(state, engine, adapter, false, time, time)
         .andThen(next -> Step.of(next.with(adapter, next.adapter(adapter, time).without(engine))));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingTransition.java
@@ -97,7 +97,7 @@
     next = countService(next, running.request(), finished);
     boolean missing = finished.outcome() == RequestOutcome.ADAPTER_MISSING;
     Step<SchedulingState, SchedulingEffect> step =
-        missing ? pins.release(next, upstream, adapter, time, time) : Step.of(next);
+        missing ? pins.missing(next, upstream, adapter, time) : Step.of(next);
     return step.andThen(current -> dispatcher.fill(current, upstream, time))
         .andThen(current -> pins.ask(current, adapter, time));
   }
@@ -218,6 +218,7 @@
                         next,
                         upstream,
                         entry.getKey(),
+                        false,
                         time.plus(settings.failureBackoff()),
                         time));
       }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/EngineFleetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/EngineFleetTests.java
@@ -3,58 +3,149 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.parsleyhead.core.scheduling.SchedulingPolicy;
 import org.parsleyhead.core.scheduling.SchedulingSettings;
 
 @DisplayName("A fleet of scheduling and ownership duties")
 class EngineFleetTests {
 
-  private static final SchedulingPolicy POLICY =
-      SchedulingPolicy.adaptive(SchedulingSettings.defaults());
+  private static final int TRANSFERS = 8;
+  private static final double RUN_SECONDS = 180;
+  private static final double LONGEST_FAULT = 15_000;
+  private static final int LARGEST_SEARCH = 60;
+  private static final SchedulingSettings SCHEDULING = SchedulingSettings.defaults();
+  private static final SchedulingPolicy POLICY = SchedulingPolicy.adaptive(SCHEDULING);
 
-  @Test
-  @DisplayName("serves skewed requests without faults")
-  void servesWithoutFaults() {
-    OwnershipSettings settings = OwnershipSettings.of(4, 8);
-    FakeFleet fleet = new FakeFleet(1, settings, POLICY, 6);
-    fleet.addEngines(6, 8, 16, false);
-    fleet.addEngines(6, 8, 16, true);
+  /** Short durations, so that ownership changes hands often. */
+  private static final OwnershipSettings OWNERSHIP =
+      new OwnershipSettings(
+          Duration.ofSeconds(3),
+          Duration.ofSeconds(6),
+          Duration.ofMillis(300),
+          Duration.ofMillis(600),
+          Duration.ofMillis(300),
+          Duration.ofSeconds(3),
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(2),
+          4,
+          TRANSFERS,
+          Duration.ofMillis(500),
+          Duration.ofSeconds(10),
+          Duration.ofSeconds(30));
+
+  /** Uses pins for twenty seconds longer than they were granted, and does not release them. */
+  private static final SchedulingSettings LATE_PINS =
+      new SchedulingSettings(
+          Duration.ofSeconds(-20),
+          SCHEDULING.pinRenewInterval(),
+          Duration.ofSeconds(60),
+          SCHEDULING.askAgain(),
+          SCHEDULING.askPatience(),
+          SCHEDULING.spreadAfter(),
+          SCHEDULING.batchHandicap(),
+          SCHEDULING.reportFresh(),
+          SCHEDULING.queueTarget(),
+          SCHEDULING.slowStart(),
+          SCHEDULING.failureBackoff(),
+          SCHEDULING.spreadLoad());
+
+  private static FakeFleet run(
+      FakeFleet fleet, boolean restartsEngines, double longestFaultMilliseconds) {
+    fleet.addEngines(3, 4, 8, false);
+    fleet.addEngines(3, 4, 8, true);
+    fleet.store().fail(0.05);
     fleet.start();
-    FakeWorkload workload = new FakeWorkload(fleet, 3000, 1.0, new double[] {8, 8, 8, 8, 8}, 1000);
-    fleet.runUntil(20);
+    FakeWorkload workload = new FakeWorkload(fleet, 60, 0.9, new double[] {3, 3, 3, 3}, 500);
     workload.start();
-    fleet.runUntil(140);
-    FakeFleetLedger ledger = fleet.ledger();
-    System.out.println(
-        "submitted "
-            + ledger.entries().size()
-            + " completed "
-            + ledger.count(entry -> entry.completed >= 0)
-            + " refused "
-            + ledger.count(entry -> entry.refused >= 0)
-            + " p50 "
-            + ledger.waitQuantile(0.5, entry -> true)
-            + " p95 "
-            + ledger.waitQuantile(0.95, entry -> true)
-            + " resident p95 "
-            + ledger.waitQuantile(0.95, entry -> entry.resident)
-            + " transfers "
-            + fleet.store().transfers()
-            + " most "
-            + fleet.store().mostInFlight()
-            + " window "
-            + fleet.store().mostStartsInTenSeconds()
-            + " messages "
-            + ledger.messages()
-            + " missing "
-            + fleet.engines().stream().mapToInt(FakeEngine::missing).sum()
-            + " evictions "
-            + fleet.engines().stream().mapToInt(FakeEngine::evictions).sum()
-            + " batch "
-            + fleet.engines().stream().mapToDouble(FakeEngine::meanBatch).average());
-    fleet.engines().forEach(engine -> assertEquals(java.util.List.of(), engine.violations()));
-    assertTrue(ledger.count(entry -> entry.completed >= 0) > 0);
+    new FakeFaults(fleet, restartsEngines, longestFaultMilliseconds).start();
+    fleet.runUntil(RUN_SECONDS);
+    return fleet;
+  }
+
+  private static List<String> violations(FakeFleet fleet) {
+    List<String> violations = new ArrayList<>();
+    fleet.engines().forEach(engine -> violations.addAll(engine.violations()));
+    return violations;
+  }
+
+  private static void checkSchedules(long firstSeed, int count) {
+    int evictions = 0;
+    long completed = 0;
+    for (long seed = firstSeed; seed < firstSeed + count; seed++) {
+      boolean restartsEngines = seed % 2 == 0;
+      FakeFleet fleet =
+          run(new FakeFleet(seed, OWNERSHIP, POLICY, 4), restartsEngines, LONGEST_FAULT);
+      assertEquals(List.of(), violations(fleet), "seed " + seed);
+      assertTrue(fleet.store().mostInFlight() <= TRANSFERS, "seed " + seed);
+      if (!restartsEngines) {
+        int missing = fleet.engines().stream().mapToInt(FakeEngine::missing).sum();
+        assertEquals(0, missing, "seed " + seed);
+      }
+      evictions += fleet.engines().stream().mapToInt(FakeEngine::evictions).sum();
+      completed += fleet.ledger().count(entry -> entry.completed >= 0);
+    }
+    assertTrue(evictions > 0 && completed > 0);
+  }
+
+  /** Finds a schedule in which a fleet with a broken rule evicts what serves. */
+  private static OptionalLong findViolation(
+      SchedulingSettings scheduling, boolean trustful, long firstSeed) {
+    return LongStream.range(firstSeed, firstSeed + LARGEST_SEARCH)
+        .filter(
+            seed -> {
+              FakeFleet fleet = new FakeFleet(seed, OWNERSHIP, scheduling, POLICY, 4);
+              if (trustful) {
+                fleet.trustWithoutAttestations();
+              }
+              return !violations(run(fleet, false, 3 * LONGEST_FAULT)).isEmpty();
+            })
+        .findFirst();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 101, 201, 301})
+  @DisplayName("never evicts what serves and never exceeds the allowance under random faults")
+  void keepsPromisesUnderFaults(long firstSeed) {
+    checkSchedules(firstSeed, 3);
+  }
+
+  @Test
+  @Tag("long-running")
+  @DisplayName("keeps its promises in a thousand schedules")
+  void keepsPromisesInManySchedules() {
+    checkSchedules(10_000, 1000);
+  }
+
+  @Nested
+  @DisplayName("with a broken rule")
+  class BrokenVariants {
+
+    @Test
+    @DisplayName("evicts what serves if owners act without attestations")
+    void failsWithoutAttestations() {
+      OptionalLong seed = findViolation(SCHEDULING, true, 8);
+      System.out.println("evicts without attestations at seed " + seed);
+      assertTrue(seed.isPresent());
+    }
+
+    @Test
+    @DisplayName("evicts what serves if hosts use pins beyond their end")
+    void failsWithLatePins() {
+      OptionalLong seed = findViolation(LATE_PINS, false, 45);
+      System.out.println("evicts with late pins at seed " + seed);
+      assertTrue(seed.isPresent());
+    }
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/FakeFleet.java
@@ -43,16 +43,26 @@
   private final Map<String, ModelRequest> requests = new HashMap<>();
   private double lossProbability;
   private double slowOrderProbability;
+  private boolean trustful;
   private long listVersion;
 
   /** Creates a fleet that has not yet been started. */
   public FakeFleet(long seed, OwnershipSettings settings, SchedulingPolicy policy, int hostCount) {
+    this(seed, settings, SchedulingSettings.defaults(), policy, hostCount);
+  }
+
+  /** Creates a fleet with settings of scheduling. */
+  public FakeFleet(
+      long seed,
+      OwnershipSettings settings,
+      SchedulingSettings schedulingSettings,
+      SchedulingPolicy policy,
+      int hostCount) {
     this.timeline = new FakeTimeline(seed);
     this.ownershipSettings = settings;
     this.store = new FakeWeightStore(timeline, settings.maximumTransfers());
     OwnershipTransition ownership = new OwnershipTransition(settings, policy.victimChoice());
-    SchedulingTransition scheduling =
-        new SchedulingTransition(SchedulingSettings.defaults(), policy);
+    SchedulingTransition scheduling = new SchedulingTransition(schedulingSettings, policy);
     for (int number = 0; number < hostCount; number++) {
       HostName name = new HostName("host-" + number);
       long offset = timeline.random().nextLong(1L << 40);
@@ -114,6 +124,15 @@
     slowOrderProbability = slowOrders;
   }
 
+  /** Makes hosts believe that all others attest to them and that all claims are due. */
+  public void trustWithoutAttestations() {
+    trustful = true;
+  }
+
+  boolean isTrustful() {
+    return trustful;
+  }
+
   /** Restarts the process of a host; it reads the last list again. */
   public void restart(HostName name, Set<HostName> listed) {
     FakeHost host = hosts.get(name);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/FakeHost.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/FakeHost.java
@@ -43,6 +43,7 @@
   private OwnershipState owned;
   private SchedulingState scheduled;
   private boolean paused;
+  private long listsHiddenUntil;
 
   FakeHost(
       FakeFleet fleet,
@@ -121,10 +122,21 @@
     }
   }
 
+  /** Keeps new lists from this host until a true time in nanoseconds. */
+  void hideListsUntil(long trueTime) {
+    listsHiddenUntil = trueTime;
+  }
+
   void readList(long newVersion, SortedSet<HostName> listed) {
     if (newVersion <= version) {
       return;
     }
+    if (fleet.timeline().now() < listsHiddenUntil) {
+      double wait = (listsHiddenUntil - fleet.timeline().now()) / 1e6;
+      Incarnation run = incarnation;
+      fleet.timeline().after(wait, () -> whenAwake(run, () -> readList(newVersion, listed)));
+      return;
+    }
     Duration attestation = fleet.ownershipSettings().attestation();
     for (HostName dropped : members) {
       if (!listed.contains(dropped)) {
@@ -200,6 +212,21 @@
   }
 
   private Standing standing() {
+    return fleet.isTrustful() ? trustfulStanding() : attestedStanding();
+  }
+
+  private Standing trustfulStanding() {
+    MonotonicTime always = now().plus(Duration.ofDays(1));
+    Map<HostName, MonotonicTime> until = new HashMap<>();
+    Map<HostName, Long> versions = new HashMap<>();
+    members.forEach(member -> until.put(member, always));
+    members.forEach(member -> versions.put(member, version));
+    Map<HostName, MonotonicTime> claims = new HashMap<>();
+    claimableFrom.keySet().forEach(dropped -> claims.put(dropped, started));
+    return new Standing(name, incarnation, version, members, until, versions, claims);
+  }
+
+  private Standing attestedStanding() {
     return new Standing(
         name, incarnation, version, members, attestedUntil, attestedVersion, claimableFrom);
   }
