Operators' program: check, diff, render, status, audit and digest-key

Cause: operators keep declarations in version control and need them checked whole and turned into numbered documents without writing to the platform.

--- /dev/null
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Questions to the operators' ports of running hosts. */
+package org.parsleyhead.operator.fleet;
--- a/parsleyhead-operator/src/main/java/org/parsleyhead/operator/package-info.java
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/package-info.java
@@ -1,2 +1,2 @@
-/** The operator role. */
+/** The operators' program: it checks and renders declarations and asks hosts for their state. */
 package org.parsleyhead.operator;
--- /dev/null
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/DocumentWriter.java
@@ -0,0 +1,100 @@
+package org.parsleyhead.operator.ticket;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.parsleyhead.codec.json.SnapshotCodec;
+import org.parsleyhead.codec.json.SnapshotHead;
+import org.parsleyhead.codec.json.SnapshotItem;
+import org.parsleyhead.codec.json.SnapshotPart;
+import org.parsleyhead.codec.json.TicketCodec;
+import org.parsleyhead.codec.json.TicketHead;
+import org.parsleyhead.codec.json.TicketPart;
+import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.Ticket;
+
+/**
+ * Writes the documents of a ticket in the order in which they are published.
+ *
+ * <p>Immutable and thread-safe, without input or output. A document only names others that stand
+ * before it, and {@code tickets/latest} is the last, so a reader never sees half a ticket.
+ */
+public final class DocumentWriter {
+
+  /** The longest value that is written, in bytes; the service holds a megabyte. */
+  public static final int MAXIMUM_VALUE_BYTES = 1_000_000;
+
+  private final PartSplitter splitter;
+
+  /** Creates a writer for values up to a length in bytes. */
+  public DocumentWriter(int maximumValueBytes) {
+    this.splitter = new PartSplitter(maximumValueBytes);
+  }
+
+  /** Returns the documents of a ticket. */
+  public List<PublishedDocument> ticket(Ticket ticket) {
+    List<PublishedDocument> documents = new ArrayList<>(ticketBody(ticket));
+    documents.add(latest(ticket.number()));
+    return List.copyOf(documents);
+  }
+
+  /** Returns the documents of a ticket and of the snapshot that contains it. */
+  public List<PublishedDocument> ticketAndSnapshot(Ticket ticket, Catalogue after) {
+    List<PublishedDocument> documents = new ArrayList<>(ticketBody(ticket));
+    documents.addAll(snapshot(ticket.number(), after));
+    documents.add(latest(ticket.number()));
+    return List.copyOf(documents);
+  }
+
+  private List<PublishedDocument> ticketBody(Ticket ticket) {
+    TicketNumber number = ticket.number();
+    List<List<Change>> parts = splitter.split(ticket.changes(), DocumentWriter::size);
+    if (parts.size() == 1) {
+      return List.of(document(DocumentPaths.ticket(number), TicketCodec.encodeWhole(ticket)));
+    }
+    List<PublishedDocument> documents = new ArrayList<>();
+    for (int part = 1; part <= parts.size(); part++) {
+      byte[] value = TicketCodec.encodePart(new TicketPart(number, part, parts.get(part - 1)));
+      documents.add(document(DocumentPaths.ticketPart(number, part), value));
+    }
+    TicketHead head = new TicketHead(number, parts.size(), List.of());
+    documents.add(document(DocumentPaths.ticket(number), TicketCodec.encodeHead(head)));
+    return documents;
+  }
+
+  private List<PublishedDocument> snapshot(TicketNumber number, Catalogue catalogue) {
+    List<SnapshotItem> items = new ArrayList<>();
+    new TreeMap<>(catalogue.items())
+        .forEach(
+            (key, versioned) ->
+                items.add(new SnapshotItem(versioned.number(), new Change(key, versioned.item()))));
+    List<List<SnapshotItem>> parts = splitter.split(items, DocumentWriter::size);
+    List<PublishedDocument> documents = new ArrayList<>();
+    for (int part = 1; part <= parts.size(); part++) {
+      byte[] value = SnapshotCodec.encodePart(new SnapshotPart(number, part, parts.get(part - 1)));
+      documents.add(document(DocumentPaths.snapshotPart(number, part), value));
+    }
+    byte[] head = SnapshotCodec.encodeHead(new SnapshotHead(number, parts.size()));
+    documents.add(document(DocumentPaths.LATEST_SNAPSHOT, head));
+    return documents;
+  }
+
+  private static PublishedDocument latest(TicketNumber number) {
+    return document(DocumentPaths.LATEST_TICKET, TicketCodec.encodeLatest(number));
+  }
+
+  private static int size(Change change) {
+    return TicketCodec.encodePart(new TicketPart(TicketNumber.NONE, 1, List.of(change))).length;
+  }
+
+  private static int size(SnapshotItem item) {
+    return SnapshotCodec.encodePart(new SnapshotPart(TicketNumber.NONE, 1, List.of(item))).length;
+  }
+
+  private static PublishedDocument document(String path, byte[] value) {
+    return new PublishedDocument(path, new String(value, StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/TicketPlan.java
@@ -0,0 +1,51 @@
+package org.parsleyhead.operator.ticket;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.Item;
+import org.parsleyhead.core.ticket.ItemKey;
+
+/**
+ * Compares two states of the declarations.
+ *
+ * <p>Stateless and thread-safe, without input or output.
+ */
+public final class TicketPlan {
+
+  private TicketPlan() {}
+
+  /**
+   * Returns what a ticket has to say: the whole new state of each item that is new or different,
+   * and a deletion for each item that has vanished. Deletions come first, each group in the order
+   * of the keys, so that withdrawn keys stand at the front.
+   */
+  public static List<Change> changes(Map<ItemKey, Item> previous, Map<ItemKey, Item> current) {
+    List<Change> changes = new ArrayList<>();
+    new TreeMap<>(previous)
+        .keySet().stream()
+            .filter(key -> !current.containsKey(key))
+            .map(Change::delete)
+            .forEach(changes::add);
+    new TreeMap<>(current)
+        .values().stream()
+            .filter(item -> !item.equals(previous.get(item.key())))
+            .map(Change::put)
+            .forEach(changes::add);
+    return List.copyOf(changes);
+  }
+
+  /** Returns the items of a catalogue that are not deleted. */
+  public static SortedMap<ItemKey, Item> declared(Catalogue catalogue) {
+    SortedMap<ItemKey, Item> declared = new TreeMap<>();
+    catalogue
+        .items()
+        .forEach((key, versioned) -> versioned.item().ifPresent(item -> declared.put(key, item)));
+    return Collections.unmodifiableSortedMap(declared);
+  }
+}
--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/administration/StandardPages.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/administration/StandardPages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Supplier;
+import org.parsleyhead.runtime.audit.AuditExcerpt;
 import org.parsleyhead.runtime.audit.AuditTrail;
 
 /** The pages that processes offer to operators. Stateless and thread-safe. */
@@ -52,6 +53,7 @@
         "/audit",
         request ->
             AdministrationResponse.json(
-                AuditJson.encode(trail.get(), request.number("since").orElse(FROM_THE_START))));
+                AuditJson.encode(
+                    AuditExcerpt.of(trail.get(), request.number("since").orElse(FROM_THE_START)))));
   }
 }
--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/EventLog.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/EventLog.java
@@ -13,6 +13,7 @@
  */
 public final class EventLog {
 
+  private static final String LIBRARY_NOTICES_PROPERTY = "slf4j.internal.verbosity";
   private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
 
   private final String component;
@@ -28,6 +29,7 @@
    */
   public static void configureProcess() {
     System.setProperty(LOG_MANAGER_PROPERTY, EventLogManager.class.getName());
+    System.setProperty(LIBRARY_NOTICES_PROPERTY, "ERROR");
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
@@ -54,36 +56,8 @@
 
   /** Returns the line of an event. */
   String line(String event, Object... keysAndValues) {
-    StringBuilder line = new StringBuilder();
-    line.append("component=").append(component).append(" event=").append(event);
-    for (int index = 0; index + 1 < keysAndValues.length; index += 2) {
-      line.append(' ').append(keysAndValues[index]).append('=');
-      appendValue(line, String.valueOf(keysAndValues[index + 1]));
-    }
-    return line.toString();
-  }
-
-  private static void appendValue(StringBuilder line, String value) {
-    boolean plain =
-        !value.isEmpty() && value.chars().allMatch(c -> c > ' ' && c < 127 && c != '"' && c != '=');
-    if (plain) {
-      line.append(value);
-      return;
-    }
-    line.append('"');
-    value
-        .chars()
-        .forEach(
-            character -> {
-              if (character == '"' || character == '\\') {
-                line.append('\\').append((char) character);
-              } else if (character < ' ') {
-                line.append(' ');
-              } else {
-                line.append((char) character);
-              }
-            });
-    line.append('"');
+    String head = EventLine.of("component", component, "event", event);
+    return keysAndValues.length == 0 ? head : head + " " + EventLine.of(keysAndValues);
   }
 
   /** Defers the choice of the log manager until the process is configured. */
--- a/parsleyhead-runtime/src/test/java/org/parsleyhead/runtime/administration/AdministrationServerTests.java
+++ b/parsleyhead-runtime/src/test/java/org/parsleyhead/runtime/administration/AdministrationServerTests.java
@@ -27,6 +27,7 @@
 import org.parsleyhead.core.ticket.ItemKind;
 import org.parsleyhead.runtime.audit.AuditChange;
 import org.parsleyhead.runtime.audit.AuditEvent;
+import org.parsleyhead.runtime.audit.AuditExcerpt;
 import org.parsleyhead.runtime.audit.AuditTrail;
 import org.parsleyhead.runtime.log.EventLog;
 
@@ -42,6 +43,18 @@
           "c0ffee",
           "entry-2");
 
+  private static final AuditTrail TRAIL =
+      AuditTrail.empty(10)
+          .append(
+              new AuditEvent(
+                  new TicketNumber(7),
+                  "entry-2",
+                  Instant.EPOCH,
+                  Stream.of("k1", "k2")
+                      .map(name -> new ItemKey(ItemKind.KEY, name))
+                      .map(key -> new AuditChange(key, AuditChange.Action.DELETED))
+                      .toList()));
+
   private final AtomicReference<Readiness> readiness = new AtomicReference<>(Readiness.READY);
   private final List<RuntimeException> failures = Collections.synchronizedList(new ArrayList<>());
   private final AdministrationServer server =
@@ -87,7 +100,16 @@
             + "\"kind\":\"key\",\"name\":\"k2\",\"action\":\"deleted\",\"heard_from\":\"entry-2\","
             + "\"in_force_since\":\"1970-01-01T00:00:00Z\"}]}",
         get("/audit?x=y&since=1").body());
-    assertTrue(get("/audit?since=-1").body().contains("\"sequence\":1"));
+    AuditExcerpt excerpt = AuditJson.decode(get("/audit?since=-1").body());
+    assertEquals(AuditExcerpt.of(TRAIL, 0), excerpt);
+    for (String other :
+        List.of(
+            "{}",
+            "<html>",
+            "{\"first_sequence\":1,\"last_sequence\":1,"
+                + "\"entries\":[{\"sequence\":1,\"ticket\":1,\"kind\":\"pet\"}]}")) {
+      assertThrows(AdministrationException.class, () -> AuditJson.decode(other));
+    }
   }
 
   @Test
@@ -113,21 +135,10 @@
   }
 
   private List<AdministrationPage> pages() {
-    AuditTrail trail =
-        AuditTrail.empty(10)
-            .append(
-                new AuditEvent(
-                    new TicketNumber(7),
-                    "entry-2",
-                    Instant.EPOCH,
-                    Stream.of("k1", "k2")
-                        .map(name -> new ItemKey(ItemKind.KEY, name))
-                        .map(key -> new AuditChange(key, AuditChange.Action.DELETED))
-                        .toList()));
     List<AdministrationPage> pages =
         new ArrayList<>(StandardPages.ofProcess(() -> "figures 1\n", readiness::get));
     pages.add(StandardPages.tickets(() -> STATUS));
-    pages.add(StandardPages.audit(() -> trail));
+    pages.add(StandardPages.audit(() -> TRAIL));
     pages.add(
         new AdministrationPage(
             "/broken",
