--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotCodec.java
@@ -4,12 +4,18 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
 import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.api.InvalidValueException;
 import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.HeardItem;
+import org.parsleyhead.core.ticket.VersionedItem;
 
 /**
- * The JSON form of snapshots as the configuration service holds them.
+ * The JSON form of published snapshots.
  *
  * <p>Stateless and thread-safe. Unknown fields are refused.
  */
@@ -24,8 +30,7 @@
    */
   public static SnapshotHead decodeHead(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "parts");
-    return JsonFields.checked(
-        () -> new SnapshotHead(number(fields, "number"), fields.smallNumber("parts")));
+    return checked(() -> new SnapshotHead(number(fields, "number"), fields.smallNumber("parts")));
   }
 
   /**
@@ -35,7 +40,7 @@
    */
   public static SnapshotPart decodePart(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "part", "items");
-    return JsonFields.checked(
+    return checked(
         () ->
             new SnapshotPart(
                 number(fields, "number"),
@@ -45,10 +50,11 @@
 
   /** Writes the value of {@code snapshot/latest}. */
   public static byte[] encodeHead(SnapshotHead head) {
-    ObjectNode node = JsonNodeFactory.instance.objectNode();
-    node.put("number", head.number().value());
-    node.put("parts", head.parts());
-    return bytes(node);
+    return bytes(
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("number", head.number().value())
+            .put("parts", head.parts()));
   }
 
   /** Writes one part of a snapshot. */
@@ -61,20 +67,58 @@
     return bytes(node);
   }
 
-  private static SnapshotItem readItem(JsonFields fields) {
+  /**
+   * Cuts items into parts whose values stay within a number of bytes.
+   *
+   * @throws CodecException if a single item is longer than that
+   */
+  public static List<SnapshotPart> split(
+      TicketNumber number, List<HeardItem> items, int maximumBytes) {
+    List<SnapshotPart> parts = new ArrayList<>();
+    List<HeardItem> collected = new ArrayList<>();
+    int empty = encodePart(new SnapshotPart(number, Integer.MAX_VALUE, List.of())).length;
+    int size = empty;
+    for (HeardItem item : items) {
+      int length = bytes(writeItem(item)).length + 1;
+      if (empty + length > maximumBytes) {
+        throw new CodecException(CodecException.TOO_LARGE, item.key() + " is too large");
+      }
+      if (size + length > maximumBytes) {
+        parts.add(new SnapshotPart(number, parts.size() + 1, collected));
+        collected = new ArrayList<>();
+        size = empty;
+      }
+      collected.add(item);
+      size += length;
+    }
+    parts.add(new SnapshotPart(number, parts.size() + 1, collected));
+    return parts;
+  }
+
+  private static HeardItem readItem(JsonFields fields) {
     fields.allowOnly("kind", "name", "item", "ticket");
-    return new SnapshotItem(number(fields, "ticket"), ItemCodec.readChange(fields));
+    Change change = ItemCodec.readChange(fields);
+    return new HeardItem(change.key(), new VersionedItem(number(fields, "ticket"), change.item()));
   }
 
-  private static ObjectNode writeItem(SnapshotItem item) {
-    return ItemCodec.writeChange(item.change()).put("ticket", item.ticket().value());
+  private static ObjectNode writeItem(HeardItem item) {
+    ObjectNode node = ItemCodec.writeChange(new Change(item.key(), item.versioned().item()));
+    return node.put("ticket", item.versioned().number().value());
   }
 
   private static TicketNumber number(JsonFields fields, String name) {
+    long number = fields.number(name);
+    if (number < 0) {
+      throw fields.error(name, "must not be negative");
+    }
+    return new TicketNumber(number);
+  }
+
+  private static <T> T checked(Supplier<T> reading) {
     try {
-      return new TicketNumber(fields.number(name));
+      return reading.get();
     } catch (InvalidValueException exception) {
-      throw fields.error(name, "must not be negative");
+      throw new CodecException(CodecException.MALFORMED, exception.getMessage(), exception);
     }
   }
 
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotHead.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotHead.java
@@ -4,11 +4,11 @@
 import org.parsleyhead.core.api.TicketNumber;
 
 /**
- * Which snapshot is the last and how many parts it has.
+ * The number and size of a published snapshot.
  *
  * <p>Immutable and thread-safe.
  *
- * @param number the last ticket that the snapshot contains
+ * @param number the number up to which all tickets are merged in it
  * @param parts how many parts it has
  */
 public record SnapshotHead(TicketNumber number, int parts) {
