--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -0,0 +1,235 @@
+package org.parsleyhead.entry.process;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+import org.parsleyhead.codec.openai.CompletionRequestParser;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.membership.MembershipEvent;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.parsleyhead.entry.callers.CallerServer;
+import org.parsleyhead.entry.configuration.ConfigurationReader;
+import org.parsleyhead.entry.configuration.HostListReader;
+import org.parsleyhead.entry.configuration.ServiceClient;
+import org.parsleyhead.entry.peer.PeerTransport;
+import org.parsleyhead.entry.peer.PeerTransportSettings;
+import org.parsleyhead.entry.upstream.EngineClient;
+import org.parsleyhead.entry.upstream.UpstreamClient;
+import org.parsleyhead.runtime.administration.AdministrationServer;
+import org.parsleyhead.runtime.administration.Readiness;
+import org.parsleyhead.runtime.administration.StandardPages;
+import org.parsleyhead.runtime.administration.TicketStatus;
+import org.parsleyhead.runtime.audit.AuditDuty;
+import org.parsleyhead.runtime.audit.AuditEntry;
+import org.parsleyhead.runtime.audit.AuditTrail;
+import org.parsleyhead.runtime.command.ExitStatus;
+import org.parsleyhead.runtime.command.Service;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+import org.parsleyhead.runtime.log.EventLog;
+import org.parsleyhead.runtime.metrics.Metrics;
+
+/**
+ * A running entry host: its duties, their rings and the sockets round them.
+ *
+ * <p>Thread-safe. A planned stop first turns the host not ready, then waits until the active
+ * requests have ended, and closes everything last.
+ */
+public final class EntryProcess implements Service {
+
+  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
+  private static final Duration NOT_READY_NOTICE = Duration.ofSeconds(2);
+  private static final int ACCEPTOR_THREADS = 1;
+  private static final String HEARD_FROM_NOBODY = "nobody";
+
+  private final EntrySettings settings;
+  private final Sender self;
+  private final EventLog log = new EventLog("entry");
+  private final Metrics metrics = new Metrics(new MetricRegistry());
+  private final MonotonicClock clock = MonotonicClock.SYSTEM;
+  private final MonotonicTime started = clock.now();
+  private final LongSupplier random = () -> ThreadLocalRandom.current().nextLong();
+  private final Rings rings;
+  private final ExchangeRegistry exchanges;
+  private final AuditDuty audit;
+  private final EntryDuties duties;
+  private final EventLoopGroup acceptors;
+  private final EventLoopGroup workers;
+  private final UpstreamClient upstreams;
+  private final EngineClient engines;
+  private final PeerTransport peers;
+  private final ServiceClient configurationClient;
+  private final ServiceClient hostListClient;
+  private final HostListReader hostListReader;
+  private final CallerServer callers;
+  private final AdministrationServer administration;
+
+  private EntryProcess(EntrySettings settings) {
+    this.settings = settings;
+    this.self = new Sender(settings.host(), new Incarnation(random.getAsLong() & Long.MAX_VALUE));
+    this.rings = Rings.create(settings.requests().maximumActive());
+    rings.register(metrics);
+    metrics.process();
+    this.exchanges = new ExchangeRegistry(self, rings.request(), this::connectionFailed);
+    this.audit = new AuditDuty(clock, log);
+    this.acceptors = eventLoops(ACCEPTOR_THREADS, "acceptor");
+    this.workers = eventLoops(settings.workerThreads(), "worker");
+    this.upstreams =
+        new UpstreamClient(
+            settings.host(), settings.upstreams(), workers, clock, rings.request()::offer);
+    this.engines = new EngineClient(workers, this::catalogue, clock, rings.ownership()::offer);
+    this.configurationClient = ServiceClient.create(settings.configurationService());
+    this.hostListClient = ServiceClient.create(settings.hostListService());
+    ConfigurationReader reader =
+        new ConfigurationReader(configurationClient, rings.configuration()::offer);
+    PeerRouter router = new PeerRouter(self, rings, this::sendToPeer);
+    PlainCalls plainCalls = new PlainCalls(rings, this::catalogue, clock);
+    RequestEffects requestEffects =
+        new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, plainCalls));
+    this.duties =
+        new EntryDuties(
+            settings,
+            self,
+            new DutySockets(rings, router, requestEffects, engines, reader, audit::record),
+            clock,
+            random,
+            log);
+    this.peers =
+        PeerTransport.start(
+            PeerTransportSettings.of(self, settings.peerEndpoint()),
+            PeerMessages.codec(),
+            duties::hostList,
+            router::receive,
+            clock,
+            random);
+    this.hostListReader =
+        new HostListReader(
+            hostListClient,
+            list -> rings.membership().offer(new MembershipEvent.HostListRead(list)),
+            clock,
+            random);
+    this.callers =
+        new CallerServer(
+            settings.callers(),
+            new CompletionRequestParser(
+                settings.tokens().bytesPerPromptToken(), settings.tokens().defaultMaximumTokens()),
+            exchanges,
+            acceptors,
+            workers);
+    metrics.gauge(EntryMetrics.ACTIVE_REQUESTS, duties::activeRequests);
+    metrics.gauge(EntryMetrics.PEER_BYTES_SENT, () -> peers.figures().bytesOut());
+    metrics.gauge(EntryMetrics.PEER_BYTES_RECEIVED, () -> peers.figures().bytesIn());
+    this.administration =
+        AdministrationServer.start(
+            settings.administrationEndpoint(),
+            List.of(
+                StandardPages.metrics(metrics::render),
+                StandardPages.live(),
+                StandardPages.ready(this::readiness),
+                StandardPages.tickets(this::ticketStatus),
+                StandardPages.audit(audit::trail)),
+            log);
+  }
+
+  /** Starts an entry host and returns once its ports are open. */
+  public static EntryProcess start(EntrySettings settings) {
+    EntryProcess process = new EntryProcess(settings);
+    process.audit.start();
+    process.duties.start();
+    process.hostListReader.start();
+    process.callers.start();
+    process.log.info(
+        "started",
+        "host",
+        process.self.host(),
+        "incarnation",
+        process.self.incarnation(),
+        "callers",
+        settings.callers().endpoint(),
+        "peers",
+        settings.peerEndpoint(),
+        "administration",
+        settings.administrationEndpoint());
+    return process;
+  }
+
+  @Override
+  public ExitStatus stop() {
+    log.info("stopping", "active_requests", duties.activeRequests());
+    exchanges.stop();
+    MonotonicTime limit = clock.now().plus(settings.stopTimeout());
+    MonotonicTime noticed = clock.now().plus(NOT_READY_NOTICE);
+    while (clock.now().isBefore(noticed) || exchanges.size() > 0 && clock.now().isBefore(limit)) {
+      LockSupport.parkNanos(DRAIN_CHECK_INTERVAL.toNanos());
+    }
+    boolean drained = exchanges.size() == 0;
+    callers.close();
+    hostListReader.close();
+    duties.close();
+    peers.close();
+    upstreams.close();
+    engines.close();
+    configurationClient.close();
+    hostListClient.close();
+    administration.close();
+    audit.close();
+    acceptors.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    workers.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    log.info("stopped", "drained", drained);
+    return drained ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
+  }
+
+  private Catalogue catalogue() {
+    return duties.catalogue();
+  }
+
+  private boolean sendToPeer(HostName host, PeerMessage message) {
+    return peers.send(host, message);
+  }
+
+  private Readiness readiness() {
+    return exchanges.isStopping()
+        ? Readiness.notReady("stopping")
+        : duties.readiness(clock.now(), started);
+  }
+
+  private TicketStatus ticketStatus() {
+    Catalogue catalogue = duties.declared();
+    return new TicketStatus(
+        self.host(),
+        new TicketNumber(duties.mergedThrough()),
+        catalogue.highest(),
+        catalogue.items().size(),
+        Long.toHexString(catalogue.digests().root()),
+        heardFrom());
+  }
+
+  private String heardFrom() {
+    AuditTrail trail = audit.trail();
+    return trail.since(trail.lastSequence() - 1).stream()
+        .map(AuditEntry::heardFrom)
+        .findFirst()
+        .orElse(HEARD_FROM_NOBODY);
+  }
+
+  private void connectionFailed(Throwable cause) {
+    log.failure("connection_failed", cause);
+  }
+
+  private static EventLoopGroup eventLoops(int threads, String name) {
+    return new MultiThreadIoEventLoopGroup(
+        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+  }
+}
--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/PeerMessages.java
@@ -0,0 +1,34 @@
+package org.parsleyhead.entry.process;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.parsleyhead.codec.peer.EngineMessageTypes;
+import org.parsleyhead.codec.peer.MembershipMessages;
+import org.parsleyhead.codec.peer.MessageType;
+import org.parsleyhead.codec.peer.PeerMessageCodec;
+import org.parsleyhead.codec.peer.QuotaMessageTypes;
+import org.parsleyhead.codec.peer.RepeatMessageTypes;
+import org.parsleyhead.codec.peer.TicketMessages;
+
+/**
+ * All messages that entry hosts exchange.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class PeerMessages {
+
+  private PeerMessages() {}
+
+  /** Returns the codec of all messages. */
+  static PeerMessageCodec codec() {
+    return new PeerMessageCodec(
+        Stream.of(
+                MembershipMessages.TYPES,
+                TicketMessages.TYPES,
+                QuotaMessageTypes.ALL,
+                EngineMessageTypes.TYPES,
+                RepeatMessageTypes.TYPES)
+            .<MessageType<?>>flatMap(List::stream)
+            .toList());
+  }
+}
