--- /dev/null
+++ b/parsleyhead-model/src/test/java/org/parsleyhead/model/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the Alloy models of the protocols. */
+package org.parsleyhead.model;
