Hand over exclusive rights on a planned stop

Cause: a host that stops as planned would keep its rights unused for as long as its attestations last. Change: on a request to stop a host gives up its rights, waits until all users act on that, and says farewell; the others may then claim and attest its next run at once.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/MembershipMessages.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/MembershipMessages.java
@@ -10,6 +10,7 @@
 import org.parsleyhead.core.api.Incarnation;
 import org.parsleyhead.core.membership.Attestation;
 import org.parsleyhead.core.membership.AttestationRequest;
+import org.parsleyhead.core.membership.Farewell;
 import org.parsleyhead.core.membership.Liveness;
 import org.parsleyhead.core.membership.LivenessUpdate;
 import org.parsleyhead.core.membership.Probe;
@@ -52,7 +53,9 @@
               (message, packer) ->
                   packer.packLong(message.nonce()).packString(message.target().text()),
               unpacker ->
-                  new ProbeRelay(unpacker.unpackLong(), new HostName(unpacker.unpackString()))));
+                  new ProbeRelay(unpacker.unpackLong(), new HostName(unpacker.unpackString()))),
+          new MessageType<>(
+              6, Farewell.class, (message, packer) -> {}, unpacker -> new Farewell()));
 
   private static final List<Liveness> LIVENESS = List.of(Liveness.values());
 
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/MembershipMessagesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/MembershipMessagesTests.java
@@ -19,6 +19,7 @@
 import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.membership.Attestation;
 import org.parsleyhead.core.membership.AttestationRequest;
+import org.parsleyhead.core.membership.Farewell;
 import org.parsleyhead.core.membership.Liveness;
 import org.parsleyhead.core.membership.LivenessUpdate;
 import org.parsleyhead.core.membership.Probe;
@@ -42,7 +43,8 @@
         new Attestation(-1, new Incarnation(8), 4, Duration.ofSeconds(10)),
         new Probe(7, UPDATES),
         new ProbeAnswer(7, List.of()),
-        new ProbeRelay(7, new HostName("host-2")));
+        new ProbeRelay(7, new HostName("host-2")),
+        new Farewell());
   }
 
   @ParameterizedTest
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Attestations.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Attestations.java
@@ -6,10 +6,12 @@
 import java.util.Optional;
 import java.util.SortedSet;
 import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.membership.RightsState.GivenAttestation;
 import org.parsleyhead.core.membership.RightsState.PendingRequest;
+import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
@@ -41,6 +43,9 @@
     if (time.isBefore(state.nextRequest())) {
       return state;
     }
+    if (state.stopping()) {
+      return farewell(state, members, time, effects);
+    }
     PMap<Long, PendingRequest> pending = withoutOverdue(state.pending(), time);
     int index = 0;
     for (HostName member : members) {
@@ -76,7 +81,8 @@
   /** Counts an attestation that answers one of this host's requests. */
   RightsState count(RightsState state, Sender sender, Attestation attestation, MonotonicTime time) {
     PendingRequest request = state.pending().get(attestation.nonce());
-    if (request == null
+    if (state.stopping()
+        || request == null
         || !request.host().equals(sender.host())
         || !attestation.incarnation().equals(settings.incarnation())) {
       return state;
@@ -95,6 +101,38 @@
         state.attestedVersion().plus(sender.host(), attestation.listVersion()));
   }
 
+  /** Tells the other members that this process will never use its rights again. */
+  RightsState farewell(
+      RightsState state,
+      SortedSet<HostName> members,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    members.stream()
+        .filter(member -> !member.equals(settings.self()))
+        .forEach(member -> effects.add(new MembershipEffect.Send(member, new Farewell())));
+    return state.withRequests(state.pending(), time.plus(settings.attestationInterval()));
+  }
+
+  /** Gives up all rights, claims included. */
+  RightsState stop(RightsState state, long nextSequence) {
+    PMap<HostName, Long> releasing = state.releasing();
+    for (HostName host : state.claimableFrom().keySet()) {
+      releasing = releasing.plus(host, nextSequence);
+    }
+    return state.asStopping().withClaims(HashTreePMap.empty(), releasing);
+  }
+
+  /** Takes up that a run of a host's process relies on no attestation any longer. */
+  RightsState departed(RightsState state, Sender sender) {
+    GivenAttestation given = state.given().get(sender.host());
+    boolean relied = given != null && given.incarnation().equals(sender.incarnation());
+    PMap<HostName, GivenAttestation> remaining =
+        relied ? state.given().minus(sender.host()) : state.given();
+    return state
+        .withGiven(remaining)
+        .withDeparted(state.departed().plus(sender.host(), sender.incarnation()));
+  }
+
   /** Returns the answer to a request; empty if nothing may be promised to the sender. */
   Optional<Attestation> answer(
       RightsState state,
@@ -106,6 +144,7 @@
         !members.contains(sender.host())
             || state.claimableFrom().containsKey(sender.host())
             || state.releasing().containsKey(sender.host())
+            || sender.incarnation().equals(state.departed().get(sender.host()))
             || otherIncarnationMayRely(state, sender, time);
     return refused
         ? Optional.empty()
@@ -126,6 +165,22 @@
   /** Takes up a change of the members: dropped ones become claimable, returned ones released. */
   RightsState changeMembers(
       RightsState state, SortedSet<HostName> before, SortedSet<HostName> after, long nextSequence) {
+    return claimDropped(withoutUnlisted(state, after), before, after, nextSequence);
+  }
+
+  private static RightsState withoutUnlisted(RightsState state, SortedSet<HostName> members) {
+    PMap<HostName, Incarnation> departed = state.departed();
+    for (HostName host : state.departed().keySet()) {
+      departed = members.contains(host) ? departed : departed.minus(host);
+    }
+    return state.withDeparted(departed);
+  }
+
+  private RightsState claimDropped(
+      RightsState state, SortedSet<HostName> before, SortedSet<HostName> after, long nextSequence) {
+    if (state.stopping()) {
+      return state;
+    }
     PMap<HostName, MonotonicTime> claims = state.claimableFrom();
     PMap<HostName, Long> releasing = state.releasing();
     if (!after.contains(settings.self())) {
@@ -164,7 +219,10 @@
         versions = versions.minus(entry.getKey());
       }
     }
-    return state.withClaims(state.claimableFrom(), releasing).withVersions(versions, applied);
+    long reached = Math.max(state.appliedSequence(), sequence);
+    return state
+        .withClaims(state.claimableFrom(), releasing)
+        .withApplied(versions, applied, reached);
   }
 
   private MonotonicTime freeFrom(RightsState state, HostName host) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Membership.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Membership.java
@@ -60,8 +60,30 @@
     if (event instanceof MembershipEvent.MessageReceived received) {
       return receive(state, received, time, effects);
     }
+    if (event instanceof MembershipEvent.StopRequested) {
+      RightsState stopping = attestations.stop(state.rights(), state.sequence() + 1);
+      return release(state, state.withRights(stopping).withCurrentStanding(), time, effects);
+    }
     MembershipEvent.StandingApplied applied = (MembershipEvent.StandingApplied) event;
-    return state.withRights(attestations.applied(state.rights(), applied.sequence()));
+    RightsState rights = attestations.applied(state.rights(), applied.sequence());
+    return release(state, state.withRights(rights), time, effects);
+  }
+
+  /** Says farewell as soon as all users of rights act on the standing without any. */
+  private MembershipState release(
+      MembershipState before,
+      MembershipState after,
+      MonotonicTime time,
+      List<MembershipEffect> effects) {
+    if (!hasReleased(after) || hasReleased(before)) {
+      return after;
+    }
+    effects.add(new MembershipEffect.RightsReleased());
+    return after.withRights(attestations.farewell(after.rights(), after.members(), time, effects));
+  }
+
+  private static boolean hasReleased(MembershipState state) {
+    return state.rights().stopping() && state.rights().appliedSequence() >= state.sequence();
   }
 
   private MembershipState tick(
@@ -70,9 +92,12 @@
       MonotonicTime time,
       List<MembershipEffect> effects) {
     RightsState rights = attestations.expire(state.rights(), time);
-    rights =
-        attestations.request(
-            rights, state.hostList(), state.members(), randomNumber, time, effects);
+    boolean releasing = rights.stopping() && !hasReleased(state);
+    if (!releasing) {
+      rights =
+          attestations.request(
+              rights, state.hostList(), state.members(), randomNumber, time, effects);
+    }
     Step<LivenessState, MembershipEffect> probed =
         detector.tick(state.livenessState(), state.others(), randomNumber, time);
     effects.addAll(probed.effects());
@@ -106,6 +131,9 @@
     if (received.message() instanceof AttestationRequest request) {
       return answer(current, received.sender(), request, time, effects);
     }
+    if (received.message() instanceof Farewell) {
+      return current.withRights(attestations.departed(current.rights(), received.sender()));
+    }
     if (received.message() instanceof Attestation attestation) {
       return current.withRights(
           attestations.count(current.rights(), received.sender(), attestation, time));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEffect.java
@@ -52,4 +52,10 @@
       Preconditions.requireNonNull(liveness, "liveness");
     }
   }
+
+  /**
+   * After a request to stop: nobody in this process uses exclusive rights any longer, and the other
+   * members have been told.
+   */
+  record RightsReleased() implements MembershipEffect {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEvent.java
@@ -48,4 +48,7 @@
    * @param sequence the sequence number of that standing
    */
   record StandingApplied(long sequence) implements MembershipEvent {}
+
+  /** This process stops as planned and gives up all exclusive rights for good. */
+  record StopRequested() implements MembershipEvent {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipState.java
@@ -117,7 +117,10 @@
     }
     long next = sequence + 1;
     RightsState noted =
-        rights.withVersions(rights.versions().plus(next, list.version()), rights.appliedVersion());
+        rights.withApplied(
+            rights.versions().plus(next, list.version()),
+            rights.appliedVersion(),
+            rights.appliedSequence());
     return new MembershipState(settings, list, noted, liveness, next, current);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/RightsState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/RightsState.java
@@ -21,6 +21,9 @@
  * @param releasing for each host that came back: the standing that has to be applied first
  * @param versions the list versions of the standings that are not yet applied, by sequence number
  * @param appliedVersion the list version that this process acts on
+ * @param appliedSequence the sequence number of the standing that this process acts on
+ * @param departed for each host that said farewell: the run of its process that did
+ * @param stopping whether this process gives up its rights for good
  */
 record RightsState(
     MonotonicTime startedAt,
@@ -32,7 +35,10 @@
     PMap<HostName, MonotonicTime> claimableFrom,
     PMap<HostName, Long> releasing,
     PMap<Long, Long> versions,
-    long appliedVersion) {
+    long appliedVersion,
+    long appliedSequence,
+    PMap<HostName, Incarnation> departed,
+    boolean stopping) {
 
   /** Returns the state of a process that starts. */
   static RightsState initial(MonotonicTime time) {
@@ -46,7 +52,10 @@
         HashTreePMap.empty(),
         HashTreePMap.empty(),
         HashTreePMap.empty(),
-        0);
+        0,
+        0,
+        HashTreePMap.empty(),
+        false);
   }
 
   RightsState withRequests(PMap<Long, PendingRequest> requests, MonotonicTime next) {
@@ -60,7 +69,10 @@
         claimableFrom,
         releasing,
         versions,
-        appliedVersion);
+        appliedVersion,
+        appliedSequence,
+        departed,
+        stopping);
   }
 
   RightsState withAttested(PMap<HostName, MonotonicTime> until, PMap<HostName, Long> version) {
@@ -74,7 +86,10 @@
         claimableFrom,
         releasing,
         versions,
-        appliedVersion);
+        appliedVersion,
+        appliedSequence,
+        departed,
+        stopping);
   }
 
   RightsState withGiven(PMap<HostName, GivenAttestation> attestations) {
@@ -88,7 +103,10 @@
         claimableFrom,
         releasing,
         versions,
-        appliedVersion);
+        appliedVersion,
+        appliedSequence,
+        departed,
+        stopping);
   }
 
   RightsState withClaims(PMap<HostName, MonotonicTime> claims, PMap<HostName, Long> released) {
@@ -102,10 +120,13 @@
         claims,
         released,
         versions,
-        appliedVersion);
+        appliedVersion,
+        appliedSequence,
+        departed,
+        stopping);
   }
 
-  RightsState withVersions(PMap<Long, Long> unapplied, long applied) {
+  RightsState withApplied(PMap<Long, Long> unapplied, long version, long sequence) {
     return new RightsState(
         startedAt,
         nextRequest,
@@ -116,7 +137,45 @@
         claimableFrom,
         releasing,
         unapplied,
-        applied);
+        version,
+        sequence,
+        departed,
+        stopping);
+  }
+
+  RightsState withDeparted(PMap<HostName, Incarnation> runs) {
+    return new RightsState(
+        startedAt,
+        nextRequest,
+        pending,
+        attestedUntil,
+        attestedVersion,
+        given,
+        claimableFrom,
+        releasing,
+        versions,
+        appliedVersion,
+        appliedSequence,
+        runs,
+        stopping);
+  }
+
+  /** Returns this state without any rights, which it never gets again. */
+  RightsState asStopping() {
+    return new RightsState(
+        startedAt,
+        nextRequest,
+        HashTreePMap.empty(),
+        HashTreePMap.empty(),
+        HashTreePMap.empty(),
+        given,
+        claimableFrom,
+        releasing,
+        versions,
+        appliedVersion,
+        appliedSequence,
+        departed,
+        true);
   }
 
   /**
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FakeMembershipFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FakeMembershipFleet.java
@@ -123,6 +123,12 @@
     publish();
   }
 
+  /** Asks a process to stop; it ends some time later and another run takes its place. */
+  void leave(HostName host) {
+    current.get(host).apply(new MembershipEvent.StopRequested());
+    at(now + milliseconds(5_000), () -> restart(host));
+  }
+
   void stop(HostName host) {
     current.get(host).endsAt = now;
   }
@@ -141,12 +147,13 @@
 
   private void fault() {
     HostName host = name(random.nextInt(size));
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(7)) {
       case 0 -> current.get(host).pausedUntil = now + milliseconds(25_000);
       case 1 -> restart(host);
       case 2 -> drop(host);
       case 3 -> relist(host);
       case 4 -> cutOff.add(host);
+      case 5 -> leave(host);
       default -> cutOff.remove(host);
     }
   }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
@@ -143,6 +143,40 @@
     }
   }
 
+  @Nested
+  @DisplayName("on a planned stop")
+  class Stops {
+
+    @Test
+    @DisplayName("says farewell only when its rights are no longer used")
+    void releasesFirst() {
+      read(1, SELF, OTHER);
+      read(2, SELF);
+      read(3, SELF, OTHER);
+      List<MembershipEffect> stopped = apply(new MembershipEvent.StopRequested(), LATER);
+      assertFalse(stopped.contains(new MembershipEffect.RightsReleased()));
+      List<MembershipEffect> released =
+          apply(new MembershipEvent.StandingApplied(state.sequence()), LATER);
+      assertTrue(released.contains(new MembershipEffect.RightsReleased()));
+      assertTrue(released.contains(new MembershipEffect.Send(OTHER, new Farewell())));
+    }
+
+    @Test
+    @DisplayName("of another host lets its next run be attested and its rights be claimed at once")
+    void claimsAtOnce() {
+      read(1, SELF, OTHER);
+      assertTrue(request(1, LATER).isPresent());
+      Sender sender = new Sender(OTHER, new Incarnation(1));
+      apply(new MembershipEvent.MessageReceived(sender, new Farewell()), LATER);
+      assertTrue(request(1, LATER).isEmpty());
+      read(2, SELF);
+      assertTrue(state.standing().mayClaimFrom(OTHER, LATER));
+      read(3, SELF, OTHER);
+      apply(new MembershipEvent.StandingApplied(state.sequence()), LATER);
+      assertTrue(request(2, LATER).isPresent());
+    }
+  }
+
   @Test
   @DisplayName("ignores a host list that is not newer than the known one")
   void ignoresOldLists() {
