--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotCodec.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/json/SnapshotCodec.java
@@ -6,9 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Supplier;
 import org.parsleyhead.codec.CodecException;
-import org.parsleyhead.core.api.InvalidValueException;
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.ticket.Change;
 import org.parsleyhead.core.ticket.HeardItem;
@@ -30,7 +28,8 @@
    */
   public static SnapshotHead decodeHead(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "parts");
-    return checked(() -> new SnapshotHead(number(fields, "number"), fields.smallNumber("parts")));
+    return JsonFields.checked(
+        () -> new SnapshotHead(number(fields, "number"), fields.smallNumber("parts")));
   }
 
   /**
@@ -40,7 +39,7 @@
    */
   public static SnapshotPart decodePart(byte[] value) {
     JsonFields fields = JsonFields.parse(value).allowOnly("number", "part", "items");
-    return checked(
+    return JsonFields.checked(
         () ->
             new SnapshotPart(
                 number(fields, "number"),
@@ -114,14 +113,6 @@
     return new TicketNumber(number);
   }
 
-  private static <T> T checked(Supplier<T> reading) {
-    try {
-      return reading.get();
-    } catch (InvalidValueException exception) {
-      throw new CodecException(CodecException.MALFORMED, exception.getMessage(), exception);
-    }
-  }
-
   private static byte[] bytes(ObjectNode node) {
     return node.toString().getBytes(StandardCharsets.UTF_8);
   }
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/PeerMessageCodecTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/PeerMessageCodecTests.java
@@ -3,14 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Label;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.Incarnation;
@@ -22,6 +26,17 @@
 
   private static final String SEED = "20260704";
 
+  /** Nothing, and the headers of the longest lists, maps, strings and binaries. */
+  private static final List<byte[]> CLAIMS =
+      List.of(
+          new byte[0],
+          new byte[] {(byte) 0xdd, 0x7f, -1, -1, -1},
+          new byte[] {(byte) 0xdd, -1, -1, -1, -1},
+          new byte[] {(byte) 0xdf, 0x7f, -1, -1, -1},
+          new byte[] {(byte) 0xdb, 0x7f, -1, -1, -1},
+          new byte[] {(byte) 0xc6, 0x7f, -1, -1, -1},
+          new byte[] {(byte) 0xc9, 0x7f, -1, -1, -1, 1});
+
   private final PeerMessageCodec codec =
       new PeerMessageCodec(
           List.of(
@@ -82,6 +97,41 @@
     assertThrows(CodecException.class, () -> codec.decode(claimed));
   }
 
+  @Property(seed = SEED, tries = 500)
+  @Label("is refused with a codec error for any body of a known type, huge claimed sizes included")
+  void anyBodyOfKnownTypes(
+      @ForAll @Size(max = 40) byte[] body, @ForAll @IntRange(max = 6) int claim)
+      throws IOException {
+    List<MessageType<?>> types =
+        Stream.of(
+                MembershipMessages.TYPES,
+                TicketMessages.TYPES,
+                EngineMessageTypes.TYPES,
+                QuotaMessageTypes.ALL)
+            .<MessageType<?>>flatMap(List::stream)
+            .toList();
+    PeerMessageCodec all = new PeerMessageCodec(types);
+    for (MessageType<?> type : types) {
+      byte[] bytes = withBody(type, CLAIMS.get(claim), body);
+      try {
+        all.decode(bytes);
+      } catch (CodecException exception) {
+        assertEquals(CodecException.MALFORMED, exception.code());
+      }
+    }
+  }
+
+  private static byte[] withBody(MessageType<?> type, byte[] claim, byte[] body)
+      throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(PeerMessageCodec.VERSION).packInt(type.code());
+      packer.packString("entry-1").packLong(5);
+      packer.writePayload(body);
+      packer.writePayload(claim);
+      return packer.toByteArray();
+    }
+  }
+
   @Example
   @Label("is refused when its version or type is unknown")
   void unknownVersionAndType() {
--- a/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/DocumentReader.java
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/DocumentReader.java
@@ -5,7 +5,6 @@
 import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.codec.json.SnapshotCodec;
 import org.parsleyhead.codec.json.SnapshotHead;
-import org.parsleyhead.codec.json.SnapshotItem;
 import org.parsleyhead.codec.json.SnapshotPart;
 import org.parsleyhead.codec.json.TicketCodec;
 import org.parsleyhead.codec.json.TicketHead;
@@ -13,6 +12,7 @@
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.HeardItem;
 import org.parsleyhead.core.ticket.Ticket;
 import org.parsleyhead.operator.OperatorException;
 
@@ -62,8 +62,8 @@
       String path = DocumentPaths.snapshotPart(head.number(), part);
       SnapshotPart read = SnapshotCodec.decodePart(require(path));
       requireNumbers(path, head.number(), part, read.number(), read.part());
-      for (SnapshotItem item : read.items()) {
-        catalogue = catalogue.merge(item.change().key(), item.versionedItem());
+      for (HeardItem item : read.items()) {
+        catalogue = catalogue.merge(item.key(), item.versioned());
       }
     }
     return catalogue.merge(new Ticket(head.number(), List.of()));
--- a/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/DocumentWriter.java
+++ b/parsleyhead-operator/src/main/java/org/parsleyhead/operator/ticket/DocumentWriter.java
@@ -6,7 +6,6 @@
 import java.util.TreeMap;
 import org.parsleyhead.codec.json.SnapshotCodec;
 import org.parsleyhead.codec.json.SnapshotHead;
-import org.parsleyhead.codec.json.SnapshotItem;
 import org.parsleyhead.codec.json.SnapshotPart;
 import org.parsleyhead.codec.json.TicketCodec;
 import org.parsleyhead.codec.json.TicketHead;
@@ -14,6 +13,7 @@
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.HeardItem;
 import org.parsleyhead.core.ticket.Ticket;
 
 /**
@@ -66,16 +66,14 @@
   }
 
   private List<PublishedDocument> snapshot(TicketNumber number, Catalogue catalogue) {
-    List<SnapshotItem> items = new ArrayList<>();
+    List<HeardItem> items = new ArrayList<>();
     new TreeMap<>(catalogue.items())
-        .forEach(
-            (key, versioned) ->
-                items.add(new SnapshotItem(versioned.number(), new Change(key, versioned.item()))));
-    List<List<SnapshotItem>> parts = splitter.split(items, DocumentWriter::size);
+        .forEach((key, versioned) -> items.add(new HeardItem(key, versioned)));
     List<PublishedDocument> documents = new ArrayList<>();
-    for (int part = 1; part <= parts.size(); part++) {
-      byte[] value = SnapshotCodec.encodePart(new SnapshotPart(number, part, parts.get(part - 1)));
-      documents.add(document(DocumentPaths.snapshotPart(number, part), value));
+    List<SnapshotPart> parts = SnapshotCodec.split(number, items, splitter.maximumBytes());
+    for (SnapshotPart part : parts) {
+      String path = DocumentPaths.snapshotPart(number, part.part());
+      documents.add(document(path, SnapshotCodec.encodePart(part)));
     }
     byte[] head = SnapshotCodec.encodeHead(new SnapshotHead(number, parts.size()));
     documents.add(document(DocumentPaths.LATEST_SNAPSHOT, head));
@@ -90,10 +88,6 @@
     return TicketCodec.encodePart(new TicketPart(TicketNumber.NONE, 1, List.of(change))).length;
   }
 
-  private static int size(SnapshotItem item) {
-    return SnapshotCodec.encodePart(new SnapshotPart(TicketNumber.NONE, 1, List.of(item))).length;
-  }
-
   private static PublishedDocument document(String path, byte[] value) {
     return new PublishedDocument(path, new String(value, StandardCharsets.UTF_8));
   }
