Whole path: two entry hosts before stand-ins answer chats, stock calls and models

Found on the way: the HTTP client accepts only its own event loop groups, so it gets its own; engines now repeat Resume-From in their answers, which the relay demands.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Reception.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/request/Reception.java
@@ -59,7 +59,7 @@
       RouteItem route,
       Optional<ClientAccountName> account,
       MonotonicTime time) {
-    if (description.path().equals(route.pathPrefix() + MODELS_OPERATION)) {
+    if (description.path().endsWith(MODELS_OPERATION)) {
       return Step.of(
           state,
           new RequestEffect.AnswerModels(description.identifier(), modelsOf(state, account)));
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -88,8 +88,12 @@
     this.workers = eventLoops(settings.workerThreads(), "worker");
     this.upstreams =
         new UpstreamClient(
-            settings.host(), settings.upstreams(), workers, clock, rings.request()::offer);
-    this.engines = new EngineClient(workers, this::catalogue, clock, rings.ownership()::offer);
+            settings.host(),
+            settings.upstreams(),
+            settings.workerThreads(),
+            clock,
+            rings.request()::offer);
+    this.engines = new EngineClient(this::catalogue, clock, rings.ownership()::offer);
     this.configurationClient = ServiceClient.create(settings.configurationService());
     this.hostListClient = ServiceClient.create(settings.hostListService());
     ConfigurationReader reader =
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
@@ -45,6 +44,7 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
+  private static final int IO_THREADS = 1;
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -60,16 +60,12 @@
   /**
    * Creates a client.
    *
-   * @param workers the event loops of its connections
    * @param catalogue gives the catalogue in force
    * @param clock gives the time
    * @param events takes the answers; runs on event loops and must not block
    */
   public EngineClient(
-      EventLoopGroup workers,
-      Supplier<Catalogue> catalogue,
-      MonotonicClock clock,
-      Consumer<EngineEvent> events) {
+      Supplier<Catalogue> catalogue, MonotonicClock clock, Consumer<EngineEvent> events) {
     this.engines = name -> catalogue.get().upstream(name);
     this.weights =
         adapter ->
@@ -83,7 +79,8 @@
     this.client =
         Dsl.asyncHttpClient(
             Dsl.config()
-                .setEventLoopGroup(workers)
+                .setThreadPoolName("engine-client")
+                .setIoThreadsCount(IO_THREADS)
                 .setUseNativeTransport(false)
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamClient.java
@@ -1,6 +1,5 @@
 package org.parsleyhead.entry.upstream;
 
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.time.Duration;
@@ -44,18 +43,18 @@
   private final MonotonicClock clock;
   private final Map<RequestIdentifier, ListenableFuture<Void>> running = new ConcurrentHashMap<>();
 
-  /** Creates a client whose connections are served by a group of event loops. */
+  /** Creates a client whose connections are served by a number of event loops. */
   public UpstreamClient(
       HostName self,
       UpstreamSettings settings,
-      EventLoopGroup workers,
+      int workerThreads,
       MonotonicClock clock,
       AttemptListener listener) {
     this.self = Preconditions.requireNonNull(self, "self");
     this.settings = Preconditions.requireNonNull(settings, "settings");
     this.clock = Preconditions.requireNonNull(clock, "clock");
     this.listener = Preconditions.requireNonNull(listener, "listener");
-    this.client = Dsl.asyncHttpClient(config(settings, workers));
+    this.client = Dsl.asyncHttpClient(config(settings, workerThreads));
   }
 
   /** Sends a request; what becomes of it is told to the listener. */
@@ -151,10 +150,10 @@
     return (uri, virtualHost, proxyServer) -> identifier;
   }
 
-  private static DefaultAsyncHttpClientConfig config(
-      UpstreamSettings settings, EventLoopGroup workers) {
+  private static DefaultAsyncHttpClientConfig config(UpstreamSettings settings, int workerThreads) {
     return Dsl.config()
-        .setEventLoopGroup(workers)
+        .setThreadPoolName("upstream")
+        .setIoThreadsCount(workerThreads)
         .setUseNativeTransport(false)
         .setMaxRequestRetry(0)
         .setFollowRedirect(false)
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/RunningCompletion.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/RunningCompletion.java
@@ -89,7 +89,8 @@
           List.of(
               new HeaderField("Content-Type", "text/event-stream; charset=utf-8"),
               new HeaderField("Cache-Control", "no-cache"),
-              new HeaderField("X-Request-Id", identifier)));
+              new HeaderField("X-Request-Id", identifier),
+              new HeaderField("Resume-From", Integer.toString(request.resumeFrom()))));
     }
   }
 }
