--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadOptions.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/LoadOptions.java
@@ -39,12 +39,12 @@
 
   private static final Options OPTIONS =
       new Options()
-          .addOption(withFile("settings"))
-          .addOption(withFile("run"))
-          .addOption(withFile("report"))
-          .addOption(withFile("outcomes"))
-          .addOption(withFile("plot"))
-          .addOption(withFile("compare-ledger"))
+          .addOption(withValue("settings"))
+          .addOption(withValue("run"))
+          .addOption(withValue("report"))
+          .addOption(withValue("outcomes"))
+          .addOption(withValue("plot"))
+          .addOption(withValue("compare-ledger"))
           .addOption(flag("check-settings"))
           .addOption(flag("help"))
           .addOption(flag("version"));
@@ -85,7 +85,7 @@
     return values == null ? List.of() : List.of(values).stream().map(Path::of).toList();
   }
 
-  private static Option withFile(String name) {
+  private static Option withValue(String name) {
     return Option.builder().longOpt(name).hasArg().get();
   }
 
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/RunningCompletion.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/engine/RunningCompletion.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.standin.engine;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
 import org.parsleyhead.standin.http.Exchange;
@@ -17,6 +18,10 @@
  */
 final class RunningCompletion {
 
+  private static final int SUCCESS = 200;
+  private static final String IDENTIFIER_HEADER = "X-Request-Id";
+  private static final String RESUME_HEADER = "Resume-From";
+
   private final String upstream;
   private final HttpCall call;
   private final Exchange exchange;
@@ -31,7 +36,7 @@
     this.call = call;
     this.exchange = exchange;
     this.request = request;
-    this.identifier = call.header("X-Request-Id").orElseGet(() -> UUID.randomUUID().toString());
+    this.identifier = call.header(IDENTIFIER_HEADER).orElseGet(() -> UUID.randomUUID().toString());
     this.arrivalMilliseconds = System.currentTimeMillis();
     this.writer = new CompletionWriter(identifier, arrivalMilliseconds / 1000, request);
   }
@@ -54,19 +59,19 @@
       exchange.end();
     } else {
       exchange.answer(
-          HttpAnswer.json(200, writer.whole(length, natural)).with("X-Request-Id", identifier));
+          HttpAnswer.json(200, writer.whole(length, natural)).with(IDENTIFIER_HEADER, identifier));
     }
   }
 
   void refuse(HttpAnswer answer) {
-    exchange.answer(answer.with("X-Request-Id", identifier));
+    exchange.answer(answer.with(IDENTIFIER_HEADER, identifier));
   }
 
   LedgerEntry entry(String outcome, int nextToken, String note) {
     return new LedgerEntry(
         upstream,
         "completion",
-        call.header("X-Request-Id"),
+        call.header(IDENTIFIER_HEADER),
         request.model(),
         call.method() + " " + call.path(),
         call.header("Idempotency-Key"),
@@ -84,12 +89,14 @@
   private void begin() {
     if (!begun) {
       begun = true;
-      exchange.begin(
-          200,
-          List.of(
-              new HeaderField("Content-Type", "text/event-stream; charset=utf-8"),
-              new HeaderField("Cache-Control", "no-cache"),
-              new HeaderField("X-Request-Id", identifier)));
+      List<HeaderField> headers = new ArrayList<>();
+      headers.add(new HeaderField("Content-Type", "text/event-stream; charset=utf-8"));
+      headers.add(new HeaderField("Cache-Control", "no-cache"));
+      headers.add(new HeaderField(IDENTIFIER_HEADER, identifier));
+      if (request.resumeFrom() > 0) {
+        headers.add(new HeaderField(RESUME_HEADER, Integer.toString(request.resumeFrom())));
+      }
+      exchange.begin(SUCCESS, headers);
     }
   }
 }
--- a/parsleyhead-standin/src/test/java/org/parsleyhead/standin/StandinFleetTests.java
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/StandinFleetTests.java
@@ -84,6 +84,10 @@
     assertTrue(answer.body().endsWith("data: [DONE]\n\n"));
     assertEquals("request-1", answer.headers().firstValue("X-Request-Id").orElseThrow());
     assertTrue(ledger().contains("\"request_id\":\"request-1\",\"model\":\"a@1\""));
+    var resumed = fleet.call("POST", ENGINE, "/v1/chat/completions", body, "Resume-From", "2");
+    assertEquals("2", resumed.headers().firstValue("Resume-From").orElseThrow());
+    assertTrue(resumed.body().contains(tokens.text(2)));
+    assertFalse(resumed.body().contains(tokens.text(1)));
   }
 
   @Test
