Mesh of proxies between entry hosts

Cause: with one endpoint for each host in one host list, a proxy cannot tell which of the others connects, so a partition between some of them could not be made. Change: a host list for each entry host, in which the others stand behind proxies of their own; a call that partitions hosts into groups. Tests take ports below the range of outgoing connections. Ruled out: telling hosts apart by source address, since entry hosts do not bind outgoing connections.

--- a/parsleyhead-load/src/test/java/org/parsleyhead/load/LoadMainTests.java
+++ b/parsleyhead-load/src/test/java/org/parsleyhead/load/LoadMainTests.java
@@ -23,6 +23,8 @@
 @DisplayName("The load tool")
 class LoadMainTests {
 
+  private static final int FIRST_PORT = 25_000;
+  private static final int PORT_RANGE = 5_000;
   private static final String STANDINS =
       """
       [administration]
@@ -109,16 +111,15 @@
     return Files.writeString(file, text);
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
+  private static List<Integer> freePorts(int count) {
     List<Integer> ports = new ArrayList<>();
-    for (int index = 0; index < count; index++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    int start = FIRST_PORT + (int) (ProcessHandle.current().pid() % PORT_RANGE);
+    for (int port = start; ports.size() < count; port++) {
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        ports.add(socket.getLocalPort());
+      } catch (IOException exception) {
+        continue;
+      }
     }
     return ports;
   }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/StandinFleet.java
@@ -3,10 +3,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.asynchttpclient.AsyncHttpClient;
 import org.parsleyhead.standin.administration.AdministrationService;
 import org.parsleyhead.standin.engine.EngineFactory;
 import org.parsleyhead.standin.ledger.Ledger;
+import org.parsleyhead.standin.mesh.HostMesh;
 import org.parsleyhead.standin.plain.PlainService;
 import org.parsleyhead.standin.platform.PublicationService;
 import org.parsleyhead.standin.platform.WeightStore;
@@ -33,12 +35,21 @@
       StandinSettings settings, AsyncHttpClient client, StandinEnvironment environment) {
     this.ledger =
         settings.ledgerFile().map(Path::of).map(Ledger::inFile).orElseGet(Ledger::inMemory);
-    this.standins = create(settings, client, ledger, environment);
-    this.proxies =
-        settings.proxies().stream().map(proxy -> createProxy(proxy, environment)).toList();
+    Optional<HostMesh> mesh =
+        settings.mesh().map(described -> createMesh(described, settings, environment));
+    List<Standin> all = new ArrayList<>(create(settings, client, ledger, environment));
+    List<FaultProxy> allProxies = new ArrayList<>();
+    settings.proxies().forEach(proxy -> allProxies.add(createProxy(proxy, environment)));
+    mesh.ifPresent(
+        created -> {
+          all.addAll(created.lists());
+          allProxies.addAll(created.proxies());
+        });
+    this.standins = List.copyOf(all);
+    this.proxies = List.copyOf(allProxies);
     this.administration =
         new AdministrationService(
-            settings.administration(), standins, proxies, ledger, environment);
+            settings.administration(), standins, proxies, mesh, ledger, environment);
   }
 
   private static List<Standin> create(
@@ -79,6 +90,17 @@
     return standins;
   }
 
+  private static HostMesh createMesh(
+      StandinSettings.Mesh mesh, StandinSettings settings, StandinEnvironment environment) {
+    return new HostMesh(
+        mesh.readers(),
+        mesh.first().address(),
+        mesh.first().port(),
+        mesh.delay(),
+        settings.hostsLag(),
+        environment);
+  }
+
   private static FaultProxy createProxy(
       StandinSettings.Proxy proxy, StandinEnvironment environment) {
     DirectionFault delay = DirectionFault.delayed(proxy.delay());
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/administration/AdministrationService.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.standin.ModeChange;
@@ -21,6 +22,7 @@
 import org.parsleyhead.standin.http.HttpListener;
 import org.parsleyhead.standin.ledger.Ledger;
 import org.parsleyhead.standin.ledger.LedgerCodec;
+import org.parsleyhead.standin.mesh.HostMesh;
 import org.parsleyhead.standin.platform.PublicationService;
 import org.parsleyhead.standin.platform.WeightStore;
 import org.parsleyhead.standin.proxy.FaultProxy;
@@ -35,11 +37,13 @@
  */
 public final class AdministrationService {
 
+  private static final String HOSTS = "hosts";
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final HttpListener listener;
   private final List<Standin> standins;
   private final List<FaultProxy> proxies;
+  private final Optional<HostMesh> mesh;
   private final Ledger ledger;
   private final StandinEnvironment environment;
 
@@ -48,10 +52,12 @@
       Endpoint endpoint,
       List<Standin> standins,
       List<FaultProxy> proxies,
+      Optional<HostMesh> mesh,
       Ledger ledger,
       StandinEnvironment environment) {
     this.standins = List.copyOf(standins);
     this.proxies = List.copyOf(proxies);
+    this.mesh = mesh;
     this.ledger = ledger;
     this.environment = environment;
     this.listener = new HttpListener(environment.group(), endpoint, this::handle);
@@ -69,6 +75,8 @@
       restart(call, exchange);
     } else if (call.pathAfter("/admin/proxies/").isPresent() && call.method().equals("PUT")) {
       switchProxy(call, exchange);
+    } else if (call.path().equals("/admin/partitions")) {
+      partition(call, exchange);
     } else {
       exchange.answer(answer(call));
     }
@@ -79,7 +87,7 @@
       return changeValue(call, call.pathAfter("/admin/values/").get());
     }
     if (call.is("PUT", "/admin/hosts")) {
-      publication("hosts").putHosts(call.body());
+      publishHosts(call.body());
       return HttpAnswer.empty(204);
     }
     if (call.is("GET", "/admin/calls")) {
@@ -95,6 +103,13 @@
     return HttpAnswer.error(404, "not_found", "no such call: " + call.path());
   }
 
+  private void publishHosts(byte[] document) {
+    mesh.ifPresent(present -> present.publish(document));
+    if (mesh.isEmpty() || exists(HOSTS)) {
+      publication(HOSTS).putHosts(document);
+    }
+  }
+
   private HttpAnswer changeValue(HttpCall call, String path) {
     switch (call.method()) {
       case "PUT" -> publication("configuration").put(path, call.body());
@@ -143,6 +158,18 @@
     offLoop(exchange, () -> proxy.switchTo(fault));
   }
 
+  private void partition(HttpCall call, Exchange exchange) {
+    HostMesh present =
+        mesh.orElseThrow(
+            () -> new StandinException(StandinException.BAD_REQUEST, "there is no mesh"));
+    if (call.method().equals("DELETE")) {
+      offLoop(exchange, present::heal);
+    } else {
+      Partition partition = Partition.read(call.body());
+      offLoop(exchange, () -> present.partition(partition.groups(), partition.fault()));
+    }
+  }
+
   /** Runs an action that waits for event loops outside of them. */
   private void offLoop(Exchange exchange, Runnable action) {
     environment
@@ -203,6 +230,10 @@
     throw new StandinException(StandinException.BAD_REQUEST, name + " holds no values");
   }
 
+  private boolean exists(String name) {
+    return standins.stream().anyMatch(standin -> standin.name().equals(name));
+  }
+
   private Standin find(String name) {
     return standins.stream()
         .filter(standin -> standin.name().equals(name))
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationService.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/platform/PublicationService.java
@@ -28,7 +28,11 @@
   private static final int RING_CAPACITY = 16_384;
   private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
+  private static final String HOSTS = "hosts";
+  private static final String CONFIGURATION = "configuration";
+
   private final String kind;
+  private final String name;
   private final Duration lag;
   private final PublicationRouter router;
   private final StandinEnvironment environment;
@@ -38,25 +42,27 @@
 
   private PublicationService(
       String kind,
+      String name,
       Endpoint endpoint,
       Duration lag,
       PublicationRouter router,
       StandinEnvironment environment) {
     this.kind = kind;
+    this.name = name;
     this.lag = lag;
     this.router = router;
     this.environment = environment;
     this.listener = new HttpListener(environment.group(), endpoint, this::handle);
     this.duty =
         new Duty<>(
-            new Ring<>(kind, RING_CAPACITY),
+            new Ring<>(name, RING_CAPACITY),
             PublicationState.INITIAL,
             new PublicationCore(),
             this::carryOut,
             PublicationEvent.Tick::new,
             TICK_INTERVAL,
             environment.clock(),
-            failure -> environment.failed(kind, failure));
+            failure -> environment.failed(name, failure));
     duty.start();
   }
 
@@ -64,13 +70,25 @@
   public static PublicationService configuration(
       Endpoint endpoint, StandinEnvironment environment) {
     return new PublicationService(
-        "configuration", endpoint, Duration.ZERO, PublicationRouter::configuration, environment);
+        CONFIGURATION,
+        CONFIGURATION,
+        endpoint,
+        Duration.ZERO,
+        PublicationRouter::configuration,
+        environment);
   }
 
-  /** Starts a host list, whose changes are seen after a lag and whose listener is not yet open. */
+  /** Starts the host list, whose changes are seen after a lag and whose listener is not open. */
   public static PublicationService hosts(
       Endpoint endpoint, Duration lag, StandinEnvironment environment) {
-    return new PublicationService("hosts", endpoint, lag, PublicationRouter::hosts, environment);
+    return hosts(HOSTS, endpoint, lag, environment);
+  }
+
+  /** Starts a host list with a name of its own. */
+  public static PublicationService hosts(
+      String name, Endpoint endpoint, Duration lag, StandinEnvironment environment) {
+    return new PublicationService(
+        HOSTS, name, endpoint, lag, PublicationRouter::hosts, environment);
   }
 
   /** Sets a value. */
@@ -111,7 +129,7 @@
 
   @Override
   public String name() {
-    return kind;
+    return name;
   }
 
   @Override
@@ -157,7 +175,7 @@
 
   private void offer(PublicationEvent event) {
     if (!duty.ring().offer(event)) {
-      throw new StandinException(StandinException.BAD_REQUEST, kind + " has too many calls");
+      throw new StandinException(StandinException.BAD_REQUEST, name + " has too many calls");
     }
   }
 
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/FaultProxy.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/FaultProxy.java
@@ -22,10 +22,10 @@
 public final class FaultProxy implements AutoCloseable {
 
   private final String name;
-  private final Endpoint target;
   private final MonotonicClock clock;
   private final TcpListener listener;
   private final Set<ProxyConnection> open = ConcurrentHashMap.newKeySet();
+  private volatile Endpoint target;
   private volatile ProxyFault faultOfNew;
 
   /**
@@ -76,6 +76,11 @@
     listener.open();
   }
 
+  /** Sets where new connections lead to. */
+  public void connectTo(Endpoint newTarget) {
+    target = newTarget;
+  }
+
   /** Puts a fault in force for the connections of its scope. */
   public void switchTo(ProxyFault fault) {
     if (fault.scope().concernsNew()) {
@@ -113,6 +118,7 @@
   }
 
   private void connect(SocketChannel caller, ProxyConnection connection) {
+    Endpoint destination = target;
     ChannelFuture connecting =
         new Bootstrap()
             .group(caller.eventLoop())
@@ -120,7 +126,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.AUTO_READ, false)
             .handler(new ForwardingHandler(connection::fromTarget, connection::targetClosed))
-            .connect(new InetSocketAddress(target.address(), target.port()));
+            .connect(new InetSocketAddress(destination.address(), destination.port()));
     connecting.addListener(
         future -> {
           if (future.isSuccess()) {
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/ProxyFaultReader.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/ProxyFaultReader.java
@@ -27,17 +27,25 @@
    */
   public static ProxyFault read(byte[] document) {
     try {
-      JsonNode node = MAPPER.readTree(document);
-      return new ProxyFault(
-          scope(node.path("scope").asText("all")),
-          node.path("cut").asBoolean(),
-          direction(node.path("to_target")),
-          direction(node.path("to_caller")));
+      return read(MAPPER.readTree(document));
     } catch (IOException exception) {
       throw new StandinException(StandinException.BAD_REQUEST, "the body is not JSON", exception);
     }
   }
 
+  /**
+   * Reads a fault that stands in another document.
+   *
+   * @throws StandinException if the node has another form
+   */
+  public static ProxyFault read(JsonNode node) {
+    return new ProxyFault(
+        scope(node.path("scope").asText("all")),
+        node.path("cut").asBoolean(),
+        direction(node.path("to_target")),
+        direction(node.path("to_caller")));
+  }
+
   private static ProxyFault.Scope scope(String text) {
     for (ProxyFault.Scope scope : ProxyFault.Scope.values()) {
       if (scope.name().toLowerCase(Locale.ROOT).equals(text)) {
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.standin.engine.EngineSettings;
+import org.parsleyhead.standin.mesh.MeshReader;
 import org.parsleyhead.standin.plain.PlainServiceSettings;
 import org.parsleyhead.standin.platform.WeightStoreSettings;
 
@@ -22,6 +23,7 @@
  * @param engines the engines
  * @param services the plain services
  * @param proxies the proxies that inject faults
+ * @param mesh the proxies between entry hosts
  * @param ledgerFile the file of the ledger
  */
 public record StandinSettings(
@@ -34,6 +36,7 @@
     List<Engine> engines,
     List<Service> services,
     List<Proxy> proxies,
+    Optional<Mesh> mesh,
     Optional<String> ledgerFile) {
 
   /** Copies the lists. */
@@ -54,4 +57,13 @@
 
   /** A proxy with its name, where it listens, where it connects to and its delay one way. */
   public record Proxy(String name, Endpoint endpoint, Endpoint target, Duration delay) {}
+
+  /** A mesh with its entry hosts, the endpoint of its first proxy and its delay one way. */
+  public record Mesh(List<MeshReader> readers, Endpoint first, Duration delay) {
+
+    /** Copies the list. */
+    public Mesh {
+      readers = List.copyOf(readers);
+    }
+  }
 }
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/settings/StandinSettingsReader.java
@@ -7,9 +7,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.runtime.settings.SettingsException;
 import org.parsleyhead.runtime.settings.SettingsReader;
 import org.parsleyhead.standin.engine.EngineSettings;
+import org.parsleyhead.standin.mesh.MeshReader;
 import org.parsleyhead.standin.plain.PlainServiceSettings;
 import org.parsleyhead.standin.platform.WeightStoreSettings;
 
@@ -53,6 +55,7 @@
             reader.names("engine").stream().map(this::engine).toList(),
             reader.names("service").stream().map(this::service).toList(),
             reader.names("proxy").stream().map(this::proxy).toList(),
+            mesh(),
             Optional.of(reader.text("ledger.file", "")).filter(file -> !file.isEmpty()));
     reader.finish();
     return settings;
@@ -169,4 +172,17 @@
         reader.value(table + ".target", Endpoint::parse, FALLBACK),
         milliseconds(table + ".delay_milliseconds", 0));
   }
+
+  private Optional<StandinSettings.Mesh> mesh() {
+    if (reader.names("mesh").isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new StandinSettings.Mesh(
+            reader.names("mesh.host").stream()
+                .map(name -> new MeshReader(new HostName(name), endpoint("mesh.host." + name)))
+                .toList(),
+            reader.value("mesh.first_proxy", Endpoint::parse, FALLBACK),
+            milliseconds("mesh.delay_milliseconds", 0)));
+  }
 }
--- a/parsleyhead-standin/src/test/java/org/parsleyhead/standin/RunningFleet.java
+++ b/parsleyhead-standin/src/test/java/org/parsleyhead/standin/RunningFleet.java
@@ -14,6 +14,10 @@
 /** Stand-ins on free ports, with a client for tests. */
 final class RunningFleet implements AutoCloseable {
 
+  private static final int FIRST_PORT = 15_000;
+  private static final int PORT_RANGE = 10_000;
+  private static final int LAST_PORT = 30_000;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final List<Integer> ports = new ArrayList<>();
@@ -36,7 +40,13 @@
   HttpResponse<String> call(
       String method, int portIndex, String path, String body, String... headers)
       throws IOException, InterruptedException {
-    URI uri = URI.create("http://127.0.0.1:" + port(portIndex) + path);
+    return callPort(method, port(portIndex), path, body, headers);
+  }
+
+  HttpResponse<String> callPort(
+      String method, int port, String path, String body, String... headers)
+      throws IOException, InterruptedException {
+    URI uri = URI.create("http://127.0.0.1:" + port + path);
     HttpRequest.Builder request =
         HttpRequest.newBuilder(uri).method(method, HttpRequest.BodyPublishers.ofString(body));
     for (int index = 0; index < headers.length; index += 2) {
@@ -45,20 +55,31 @@
     return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Finds consecutive free ports below those that the system gives to outgoing connections. */
   private void findPorts(int count) {
-    List<ServerSocket> sockets = new ArrayList<>();
-    try {
-      for (int index = 0; index < count; index++) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        sockets.add(socket);
-        ports.add(socket.getLocalPort());
+    int start = FIRST_PORT + (int) (ProcessHandle.current().pid() * count % PORT_RANGE);
+    for (int first = start; first < LAST_PORT; first += count) {
+      if (areFree(first, count)) {
+        for (int port = first; port < first + count; port++) {
+          ports.add(port);
+        }
+        return;
       }
-      for (ServerSocket socket : sockets) {
-        socket.close();
+    }
+    throw new IllegalStateException("no free ports");
+  }
+
+  private static boolean areFree(int first, int count) {
+    for (int port = first; port < first + count; port++) {
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        if (!socket.isBound()) {
+          return false;
+        }
+      } catch (IOException exception) {
+        return false;
       }
-    } catch (IOException exception) {
-      throw new IllegalStateException("no free port", exception);
     }
+    return true;
   }
 
   @Override
