--- /dev/null
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/ControlPlaneTests.java
@@ -0,0 +1,78 @@
+package org.parsleyhead.entry.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.ticket.Change;
+import org.parsleyhead.core.ticket.KeyItem;
+import org.parsleyhead.core.ticket.Ticket;
+
+@DisplayName("The control planes of several hosts")
+class ControlPlaneTests {
+
+  private static final KeyItem KEY = new KeyItem("ab".repeat(32), new ClientAccountName("depot"));
+  private static final Duration ATTESTATION_DURATION = Duration.ofSeconds(3);
+  private static final int POLLS = 6_000;
+
+  /** Waits up to a minute; the limit only ends a test that hangs. */
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    for (int poll = 0; poll < POLLS && !condition.getAsBoolean(); poll++) {
+      Thread.sleep(10);
+    }
+    assertTrue(condition.getAsBoolean());
+  }
+
+  private static Ticket ticket(long number, Change change) {
+    return new Ticket(new TicketNumber(number), List.of(change));
+  }
+
+  @Test
+  @DisplayName("become ready, tell each other of withdrawn keys, and release their rights")
+  void actTogether() throws Exception {
+    try (FakePlatform platform = new FakePlatform();
+        FakeFleet fleet = new FakeFleet(3, ATTESTATION_DURATION)) {
+      platform.publish(ticket(1, Change.put(KEY)));
+      platform.publish(fleet.hostList());
+      for (int index = 0; index < 3; index++) {
+        fleet.start(index, platform.uri());
+      }
+      for (FakeFleet.Host host : fleet.hosts()) {
+        assertTrue(host.ready().await(60, TimeUnit.SECONDS));
+        assertEquals(1, host.plane().configuration().mergedThrough());
+      }
+      platform.publish(ticket(2, Change.delete(KEY.key())));
+      for (FakeFleet.Host host : fleet.hosts()) {
+        await(() -> host.withdrawn().contains(KEY.digest()));
+      }
+      FakeFleet.Host first = fleet.hosts().get(0);
+      await(() -> first.standing() != null && first.standing().attestedUntil().size() == 2);
+      first.plane().requestStop();
+      assertTrue(first.released().await(60, TimeUnit.SECONDS));
+      assertTrue(first.standing().attestedUntil().isEmpty());
+    }
+  }
+
+  @Test
+  @DisplayName("let a host become ready from the others when it cannot reach the service")
+  void readyFromOthers() throws Exception {
+    try (FakePlatform platform = new FakePlatform();
+        FakePlatform withoutTickets = new FakePlatform();
+        FakeFleet fleet = new FakeFleet(2, ATTESTATION_DURATION)) {
+      platform.publish(ticket(1, Change.put(KEY)));
+      platform.publish(fleet.hostList());
+      withoutTickets.publish(fleet.hostList());
+      fleet.start(0, platform.uri());
+      FakeFleet.Host cutOff = fleet.start(1, withoutTickets.uri());
+      assertTrue(cutOff.ready().await(60, TimeUnit.SECONDS));
+      assertTrue(cutOff.plane().configuration().catalogue().keyByDigest(KEY.digest()).isPresent());
+    }
+  }
+}
--- /dev/null
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/FakeFleet.java
@@ -0,0 +1,154 @@
+package org.parsleyhead.entry.configuration;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.parsleyhead.codec.peer.MembershipMessages;
+import org.parsleyhead.codec.peer.MessageType;
+import org.parsleyhead.codec.peer.PeerMessageCodec;
+import org.parsleyhead.codec.peer.TicketMessages;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.RegionName;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.membership.HostEntry;
+import org.parsleyhead.core.membership.HostList;
+import org.parsleyhead.core.membership.MembershipSettings;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.ticket.ConfigurationSettings;
+import org.parsleyhead.entry.peer.PeerTransportSettings;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+
+/** Control planes of several hosts in one process, over sockets on loopback. */
+final class FakeFleet implements AutoCloseable {
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int DOMAINS = 3;
+  private static final int CELL_SIZE = 6;
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final List<Host> hosts = new ArrayList<>();
+  private final List<HostEntry> entries = new ArrayList<>();
+  private final Duration attestationDuration;
+
+  /** Creates hosts that are not yet started. */
+  FakeFleet(int size, Duration attestationDuration) throws IOException {
+    this.attestationDuration = attestationDuration;
+    for (int index = 0; index < size; index++) {
+      entries.add(
+          new HostEntry(
+              new HostName("host-" + index),
+              freeEndpoint(),
+              new RegionName("region"),
+              new FailureDomainName("domain-" + index % DOMAINS),
+              "cell-" + index / CELL_SIZE,
+              false));
+    }
+  }
+
+  HostList hostList() {
+    return new HostList(1, entries, Set.of());
+  }
+
+  Host start(int index, URI service) {
+    Host host = new Host(entries.get(index), service, attestationDuration);
+    hosts.add(host);
+    return host;
+  }
+
+  List<Host> hosts() {
+    return hosts;
+  }
+
+  @Override
+  public void close() {
+    hosts.forEach(host -> host.plane.close());
+  }
+
+  private static Endpoint freeEndpoint() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+      return new Endpoint(LOOPBACK, socket.getLocalPort());
+    }
+  }
+
+  /** One host. */
+  static final class Host {
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private final CountDownLatch released = new CountDownLatch(1);
+    private final Set<String> withdrawn = ConcurrentHashMap.newKeySet();
+    private final AtomicReference<Standing> standing = new AtomicReference<>();
+    private final ControlPlane plane;
+
+    private Host(HostEntry entry, URI service, Duration attestationDuration) {
+      Sender self = new Sender(entry.name(), new Incarnation(RANDOM.nextLong() >>> 1));
+      List<MessageType<?>> types =
+          Stream.of(MembershipMessages.TYPES, TicketMessages.TYPES).flatMap(List::stream).toList();
+      plane =
+          ControlPlane.start(
+              ControlPlaneSettings.of(self, entry.peerEndpoint(), entry.failureDomain(), service),
+              new PeerMessageCodec(types),
+              new ControlPlaneListener(
+                  (changed, applied) -> {
+                    standing.set(changed);
+                    applied.run();
+                  },
+                  list -> {},
+                  changed -> withdrawn.addAll(changed.withdrawnKeyDigests()),
+                  ready::countDown,
+                  released::countDown,
+                  envelope -> {}),
+              MonotonicClock.SYSTEM,
+              RANDOM::nextLong);
+    }
+
+    private static ControlPlaneSettings settings(
+        Sender self, HostEntry entry, URI service, Duration attestationDuration) {
+      MembershipSettings usual = MembershipSettings.of(self.host(), self.incarnation());
+      return new ControlPlaneSettings(
+          service,
+          new MembershipSettings(
+              usual.self(),
+              usual.incarnation(),
+              attestationDuration,
+              usual.driftMargin(),
+              usual.attestationInterval(),
+              usual.probeInterval(),
+              usual.probeTimeout(),
+              usual.suspicionTimeout()),
+          ConfigurationSettings.of(self.host(), entry.failureDomain()),
+          PeerTransportSettings.of(self, entry.peerEndpoint()));
+    }
+
+    ControlPlane plane() {
+      return plane;
+    }
+
+    CountDownLatch ready() {
+      return ready;
+    }
+
+    CountDownLatch released() {
+      return released;
+    }
+
+    Set<String> withdrawn() {
+      return withdrawn;
+    }
+
+    Standing standing() {
+      return standing.get();
+    }
+  }
+}
