--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/RepeatMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/RepeatMessageTypes.java
@@ -64,8 +64,7 @@
         vote(unpacker.unpackInt()));
   }
 
-  private static void packRelease(RepeatRelease release, MessagePacker packer)
-      throws IOException {
+  private static void packRelease(RepeatRelease release, MessagePacker packer) throws IOException {
     packer.packString(release.identifier().text());
     packer.packString(release.repeatKey());
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ConfigurationEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ConfigurationEffects.java
@@ -125,8 +125,7 @@
     return byTicket.entrySet().stream()
         .map(
             entry ->
-                new AuditEvent(
-                    entry.getKey(), changed.source().toString(), now, entry.getValue()))
+                new AuditEvent(entry.getKey(), changed.source().toString(), now, entry.getValue()))
         .toList();
   }
 
@@ -134,8 +133,6 @@
     if (change.after().isEmpty()) {
       return AuditChange.Action.DELETED;
     }
-    return change.before().isPresent()
-        ? AuditChange.Action.REPLACED
-        : AuditChange.Action.CREATED;
+    return change.before().isPresent() ? AuditChange.Action.REPLACED : AuditChange.Action.CREATED;
   }
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/PlainCalls.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/PlainCalls.java
@@ -42,8 +42,7 @@
     RequestEvent event =
         chosen
             .<RequestEvent>map(
-                upstream ->
-                    new RequestEvent.Dispatched(call.identifier(), upstream, writeBefore))
+                upstream -> new RequestEvent.Dispatched(call.identifier(), upstream, writeBefore))
             .orElseGet(
                 () ->
                     new RequestEvent.NotDispatched(
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestWiring.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestWiring.java
@@ -40,8 +40,7 @@
             rings
                 .quota()
                 .offer(new QuotaEvent.Release(release.identifier(), release.clientAccount())),
-        check ->
-            rings.repeat().offer(new RepeatEvent.Check(check.identifier(), check.repeatKey())),
+        check -> rings.repeat().offer(new RepeatEvent.Check(check.identifier(), check.repeatKey())),
         forget -> rings.repeat().offer(new RepeatEvent.Forget(forget.identifier())),
         submit -> rings.scheduling().offer(new SchedulingEvent.Submitted(submit.request())),
         plainCalls::submit,
@@ -62,9 +61,7 @@
       boolean permanent = refused.reason() == RefusalReason.LARGER_THAN_BURST;
       rings
           .request()
-          .offer(
-              new RequestEvent.NotAdmitted(
-                  refused.request(), permanent, refused.retryAfter()));
+          .offer(new RequestEvent.NotAdmitted(refused.request(), permanent, refused.retryAfter()));
     } else if (effect instanceof QuotaEffect.StandingApplied applied) {
       barrier.appliedByQuota(applied.sequence());
     }
@@ -75,9 +72,7 @@
     if (effect instanceof RepeatEffect.Send send) {
       peers.send(send.receiver(), send.message());
     } else if (effect instanceof RepeatEffect.Checked checked) {
-      rings
-          .request()
-          .offer(new RequestEvent.RepeatChecked(checked.identifier(), checked.result()));
+      rings.request().offer(new RequestEvent.RepeatChecked(checked.identifier(), checked.result()));
     }
   }
 
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RightsBarrier.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RightsBarrier.java
@@ -43,8 +43,7 @@
   void appliedByQuota(long sequence) {
     Long version = versions.get(sequence);
     boolean applied =
-        version != null
-            && versionsInUse.stream().allMatch(inUse -> inUse.getAsLong() >= version);
+        version != null && versionsInUse.stream().allMatch(inUse -> inUse.getAsLong() >= version);
     if (applied) {
       membership.accept(new MembershipEvent.StandingApplied(sequence));
     }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/SchedulingEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/SchedulingEffects.java
@@ -10,9 +10,7 @@
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.UpstreamItem;
 
-/**
- * Carries out the effects of the scheduling duty. Runs on its thread and does not block.
- */
+/** Carries out the effects of the scheduling duty. Runs on its thread and does not block. */
 final class SchedulingEffects implements Consumer<SchedulingEffect> {
 
   private final Rings rings;
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamSettings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/UpstreamSettings.java
@@ -13,9 +13,7 @@
  * @param answerTimeout the longest silence of an upstream that answers in one piece
  */
 public record UpstreamSettings(
-    Duration connectTimeout,
-    Duration progressTimeout,
-    Duration answerTimeout) {
+    Duration connectTimeout, Duration progressTimeout, Duration answerTimeout) {
 
   /** Checks the limits. */
   public UpstreamSettings {
