--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipSettings.java
@@ -66,6 +66,19 @@
         DEFAULT_SUSPICION_TIMEOUT);
   }
 
+  /** Returns these settings with another attestation duration. */
+  public MembershipSettings withAttestationDuration(Duration duration) {
+    return new MembershipSettings(
+        self,
+        incarnation,
+        duration,
+        driftMargin,
+        attestationInterval,
+        probeInterval,
+        probeTimeout,
+        suspicionTimeout);
+  }
+
   /** Returns how long the giver of an attestation is bound by its own clock. */
   public Duration bindingDuration() {
     return attestationDuration.plus(driftMargin);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/QuotaSettings.java
@@ -4,6 +4,7 @@
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.Incarnation;
 import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.membership.MembershipSettings;
 
 /**
  * The identity of this process and the durations of the quota protocol.
@@ -53,6 +54,19 @@
         "must be shorter than binding_duration");
   }
 
+  /** Returns the settings that fit those of the attestations. */
+  public static QuotaSettings of(MembershipSettings membership) {
+    return new QuotaSettings(
+        membership.self(),
+        membership.incarnation(),
+        membership.bindingDuration(),
+        membership.driftMargin(),
+        DEFAULT_NOTICE_INTERVAL,
+        DEFAULT_LOAN_DURATION,
+        DEFAULT_LOAN_REQUEST_INTERVAL,
+        DEFAULT_MAXIMUM_WAIT);
+  }
+
   /** Returns the settings with the usual durations. */
   public static QuotaSettings of(HostName self, Incarnation incarnation) {
     return new QuotaSettings(
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ControlPlane.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ControlPlane.java
@@ -49,6 +49,7 @@
   private final Duty<MembershipState, MembershipEvent, MembershipEffect> membership;
   private final Duty<ConfigurationState, ConfigurationEvent, ConfigurationEffect> configuration;
   private final ServiceClient client;
+  private final ServiceClient hostListClient;
   private final ConfigurationReader reader;
   private final HostListReader hostListReader;
   private final PeerTransport transport;
@@ -65,8 +66,9 @@
         PeerTransport.start(
             settings.transport(), codec, () -> hostList, this::receive, clock, randomNumbers);
     this.client = ServiceClient.create(settings.service());
+    this.hostListClient = ServiceClient.create(settings.hostListService());
     this.reader = new ConfigurationReader(client, configurationRing::offer);
-    this.hostListReader = new HostListReader(client, this::take, clock, randomNumbers);
+    this.hostListReader = new HostListReader(hostListClient, this::take, clock, randomNumbers);
     this.membership =
         new Duty<>(
             membershipRing,
@@ -141,6 +143,7 @@
     configuration.close();
     transport.close();
     client.close();
+    hostListClient.close();
   }
 
   private void take(HostList list) {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ControlPlaneSettings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ControlPlaneSettings.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.entry.configuration;
 
 import java.net.URI;
+import java.time.Duration;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.Preconditions;
@@ -14,13 +15,15 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param service the address of the configuration service and the host list
+ * @param service the address of the configuration service
+ * @param hostListService the address of the host list
  * @param membership the settings of the membership core
  * @param configuration the settings of the configuration core
  * @param transport the settings of the transport
  */
 public record ControlPlaneSettings(
     URI service,
+    URI hostListService,
     MembershipSettings membership,
     ConfigurationSettings configuration,
     PeerTransportSettings transport) {
@@ -28,6 +31,7 @@
   /** Checks that all parts name one host. */
   public ControlPlaneSettings {
     Preconditions.requireNonNull(service, "service");
+    Preconditions.requireNonNull(hostListService, "hostListService");
     Preconditions.requireNonNull(membership, "membership");
     Preconditions.requireNonNull(configuration, "configuration");
     Preconditions.requireNonNull(transport, "transport");
@@ -39,10 +43,17 @@
 
   /** Returns the settings with the usual numbers. */
   public static ControlPlaneSettings of(
-      Sender self, Endpoint peerEndpoint, FailureDomainName failureDomain, URI service) {
+      Sender self,
+      Endpoint peerEndpoint,
+      FailureDomainName failureDomain,
+      URI service,
+      URI hostListService,
+      Duration attestationDuration) {
     return new ControlPlaneSettings(
         service,
-        MembershipSettings.of(self.host(), self.incarnation()),
+        hostListService,
+        MembershipSettings.of(self.host(), self.incarnation())
+            .withAttestationDuration(attestationDuration),
         ConfigurationSettings.of(self.host(), failureDomain),
         PeerTransportSettings.of(self, peerEndpoint));
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ConfigurationEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/CatalogueDistribution.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.api.TicketNumber;
@@ -21,71 +20,45 @@
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.ClientAccountItem;
 import org.parsleyhead.core.ticket.ConfigurationEffect;
-import org.parsleyhead.core.ticket.ServiceRead;
 import org.parsleyhead.core.ticket.UpstreamItem;
 import org.parsleyhead.runtime.audit.AuditChange;
 import org.parsleyhead.runtime.audit.AuditEvent;
 import org.parsleyhead.runtime.log.EventLog;
 
 /**
- * Carries out the effects of the configuration duty: a new catalogue goes to every duty that uses
- * it. Runs on the configuration duty's thread and does not block.
+ * Hands catalogues to every duty that uses them, and changes to the audit trail.
+ *
+ * <p>Thread-safe. The upstreams that the host list calls leaving are leaving in every catalogue
+ * that is handed out.
  */
-final class ConfigurationEffects implements Consumer<ConfigurationEffect> {
+final class CatalogueDistribution {
 
   private final Rings rings;
-  private final PeerRouter peers;
-  private final Consumer<ServiceRead> reader;
-  private final Supplier<HostList> hostList;
   private final Consumer<AuditEvent> audit;
   private final EventLog log;
+  private Catalogue declared = Catalogue.empty();
+  private HostList hostList = HostList.EMPTY;
 
-  ConfigurationEffects(
-      Rings rings,
-      PeerRouter peers,
-      Consumer<ServiceRead> reader,
-      Supplier<HostList> hostList,
-      Consumer<AuditEvent> audit,
-      EventLog log) {
+  CatalogueDistribution(Rings rings, Consumer<AuditEvent> audit, EventLog log) {
     this.rings = Preconditions.requireNonNull(rings, "rings");
-    this.peers = Preconditions.requireNonNull(peers, "peers");
-    this.reader = Preconditions.requireNonNull(reader, "reader");
-    this.hostList = Preconditions.requireNonNull(hostList, "hostList");
     this.audit = Preconditions.requireNonNull(audit, "audit");
     this.log = Preconditions.requireNonNull(log, "log");
   }
 
-  @Override
-  public void accept(ConfigurationEffect effect) {
-    if (effect instanceof ConfigurationEffect.Send send) {
-      peers.send(send.host(), send.message());
-    } else if (effect instanceof ConfigurationEffect.Read read) {
-      reader.accept(read.read());
-    } else if (effect instanceof ConfigurationEffect.CatalogueChanged changed) {
-      catalogueChanged(changed);
-    } else if (effect instanceof ConfigurationEffect.BecameReady ready) {
-      log.info("configuration_ready", "merged_through", ready.mergedThrough());
-    } else if (effect instanceof ConfigurationEffect.TicketRefused refused) {
-      log.warning("ticket_refused", "ticket", refused.number(), "reason", refused.reason());
+  /** Takes a newer host list. */
+  synchronized void hostListChanged(HostList newer) {
+    boolean leavingChanged = !newer.leavingUpstreams().equals(hostList.leavingUpstreams());
+    hostList = newer;
+    if (leavingChanged) {
+      distribute(Set.of());
     }
   }
 
-  /** Hands the catalogue with the leaving upstreams of the host list to the duties that use it. */
-  void distribute(Catalogue catalogue, Set<String> withdrawnKeys) {
-    Catalogue effective = catalogue.withLeaving(hostList.get().leavingUpstreams());
-    List<UpstreamItem> upstreams = effective.upstreams();
-    boolean accepted =
-        rings.request().offer(new RequestEvent.CatalogueChanged(effective, withdrawnKeys))
-            & rings.scheduling().offer(new SchedulingEvent.UpstreamsChanged(upstreams))
-            & rings.ownership().offer(new EngineEvent.UpstreamsChanged(upstreams));
-    if (!accepted) {
-      log.warning("catalogue_not_distributed", "highest", effective.highest());
-    }
-  }
-
-  private void catalogueChanged(ConfigurationEffect.CatalogueChanged changed) {
+  /** Takes a new catalogue with its changes. */
+  synchronized void catalogueChanged(ConfigurationEffect.CatalogueChanged changed) {
+    declared = changed.catalogue();
     changed.clientAccountChanges().forEach(this::changeLimits);
-    distribute(changed.catalogue(), Set.copyOf(changed.withdrawnKeyDigests()));
+    distribute(Set.copyOf(changed.withdrawnKeyDigests()));
     auditEvents(changed).forEach(audit);
     log.info(
         "catalogue_in_force",
@@ -97,6 +70,18 @@
         changed.source());
   }
 
+  private void distribute(Set<String> withdrawnKeys) {
+    Catalogue effective = declared.withLeaving(hostList.leavingUpstreams());
+    List<UpstreamItem> upstreams = effective.upstreams();
+    boolean accepted =
+        rings.request().offer(new RequestEvent.CatalogueChanged(effective, withdrawnKeys))
+            & rings.scheduling().offer(new SchedulingEvent.UpstreamsChanged(upstreams))
+            & rings.ownership().offer(new EngineEvent.UpstreamsChanged(upstreams));
+    if (!accepted) {
+      log.warning("catalogue_not_distributed", "highest", effective.highest());
+    }
+  }
+
   private void changeLimits(AppliedChange change) {
     ClientAccountName account = new ClientAccountName(change.key().name());
     QuotaEvent event =
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/DutySockets.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/DutySockets.java
@@ -3,9 +3,7 @@
 import java.util.function.Consumer;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.request.RequestEffect;
-import org.parsleyhead.entry.configuration.ConfigurationReader;
 import org.parsleyhead.entry.upstream.EngineClient;
-import org.parsleyhead.runtime.audit.AuditEvent;
 
 /**
  * What the duties of an entry host are joined to.
@@ -16,23 +14,14 @@
  * @param peers messages between hosts
  * @param requests the effects of requests
  * @param engines readings of and orders to engines
- * @param configuration calls to the configuration service
- * @param audit the audit trail
  */
 record DutySockets(
-    Rings rings,
-    PeerRouter peers,
-    Consumer<RequestEffect> requests,
-    EngineClient engines,
-    ConfigurationReader configuration,
-    Consumer<AuditEvent> audit) {
+    Rings rings, PeerRouter peers, Consumer<RequestEffect> requests, EngineClient engines) {
 
   DutySockets {
     Preconditions.requireNonNull(rings, "rings");
     Preconditions.requireNonNull(peers, "peers");
     Preconditions.requireNonNull(requests, "requests");
     Preconditions.requireNonNull(engines, "engines");
-    Preconditions.requireNonNull(configuration, "configuration");
-    Preconditions.requireNonNull(audit, "audit");
   }
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
@@ -2,12 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.parsleyhead.core.api.MonotonicTime;
-import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.api.Transition;
 import org.parsleyhead.core.engine.EngineEffect;
 import org.parsleyhead.core.engine.EngineEvent;
@@ -18,10 +16,6 @@
 import org.parsleyhead.core.idempotency.RepeatEvent;
 import org.parsleyhead.core.idempotency.RepeatState;
 import org.parsleyhead.core.idempotency.RepeatTransition;
-import org.parsleyhead.core.membership.HostList;
-import org.parsleyhead.core.membership.Membership;
-import org.parsleyhead.core.membership.MembershipEffect;
-import org.parsleyhead.core.membership.MembershipEvent;
 import org.parsleyhead.core.membership.MembershipSettings;
 import org.parsleyhead.core.membership.MembershipState;
 import org.parsleyhead.core.membership.Standing;
@@ -42,12 +36,6 @@
 import org.parsleyhead.core.scheduling.SchedulingState;
 import org.parsleyhead.core.scheduling.SchedulingTransition;
 import org.parsleyhead.core.ticket.Catalogue;
-import org.parsleyhead.core.ticket.Configuration;
-import org.parsleyhead.core.ticket.ConfigurationEffect;
-import org.parsleyhead.core.ticket.ConfigurationEvent;
-import org.parsleyhead.core.ticket.ConfigurationSettings;
-import org.parsleyhead.core.ticket.ConfigurationState;
-import org.parsleyhead.runtime.administration.Readiness;
 import org.parsleyhead.runtime.duty.Duty;
 import org.parsleyhead.runtime.duty.MonotonicClock;
 import org.parsleyhead.runtime.duty.Ring;
@@ -62,24 +50,21 @@
 
   private static final Duration REQUEST_TICK = Duration.ofMillis(100);
   private static final Duration DECISION_TICK = Duration.ofMillis(50);
-  private static final Duration CONTROL_TICK = Duration.ofMillis(100);
-  private static final Duration LONGEST_WAIT_FOR_SHARE = Duration.ofSeconds(15);
 
   private final EntrySettings settings;
   private final MonotonicClock clock;
   private final LongSupplier random;
   private final EventLog log;
+  private final RightsBarrier barrier;
   private final Duty<RequestState, RequestEvent, RequestEffect> requests;
   private final Duty<RepeatState, RepeatEvent, RepeatEffect> repeats;
   private final Duty<QuotaState, QuotaEvent, QuotaEffect> quota;
   private final Duty<SchedulingState, SchedulingEvent, SchedulingEffect> scheduling;
   private final Duty<OwnershipState, EngineEvent, EngineEffect> ownership;
-  private final Duty<MembershipState, MembershipEvent, MembershipEffect> membership;
-  private final Duty<ConfigurationState, ConfigurationEvent, ConfigurationEffect> configuration;
 
   EntryDuties(
       EntrySettings settings,
-      Sender self,
+      MembershipSettings membership,
       DutySockets sockets,
       MonotonicClock clock,
       LongSupplier random,
@@ -89,14 +74,11 @@
     this.random = random;
     this.log = log;
     MonotonicTime now = clock.now();
-    MembershipSettings membershipSettings = MembershipSettings.of(self.host(), self.incarnation());
-    MembershipState membershipStart = MembershipState.initial(membershipSettings, now);
-    Standing standing = membershipStart.standing();
+    Standing standing = MembershipState.initial(membership, now).standing();
     Rings rings = sockets.rings();
-    RightsBarrier barrier =
+    this.barrier =
         new RightsBarrier(
-            List.of(this::repeatVersion, this::schedulingVersion, this::ownershipVersion),
-            rings.membership()::offer);
+            List.of(this::repeatVersion, this::schedulingVersion, this::ownershipVersion));
     this.requests =
         duty(
             rings.request(),
@@ -118,69 +100,35 @@
             rings.quota(),
             QuotaState.initial(now),
             new QuotaTransition(
-                QuotaSettings.of(self.host(), self.incarnation()),
+                QuotaSettings.of(membership),
                 settings.lending() ? LendingPolicy.byDemand() : LendingPolicy.none()),
             effect -> RequestWiring.onQuotaEffect(rings, sockets.peers(), barrier, effect),
             QuotaEvent.Tick::new,
             DECISION_TICK);
     this.scheduling = schedulingDuty(sockets, standing, now);
-    this.ownership = ownershipDuty(sockets, standing, membershipSettings, now);
-    ConfigurationEffects configurationEffects =
-        new ConfigurationEffects(
-            rings,
-            sockets.peers(),
-            sockets.configuration()::read,
-            this::hostList,
-            sockets.audit(),
-            log);
-    this.membership =
-        duty(
-            rings.membership(),
-            membershipStart,
-            new Membership(membershipSettings),
-            new MembershipEffects(
-                rings,
-                sockets.peers(),
-                barrier,
-                this::membershipState,
-                () -> configurationEffects.distribute(declared(), Set.of()),
-                log),
-            () -> new MembershipEvent.Tick(random.getAsLong()),
-            CONTROL_TICK);
-    this.configuration =
-        duty(
-            rings.configuration(),
-            ConfigurationState.initial(now),
-            new Configuration(ConfigurationSettings.of(self.host(), settings.failureDomain())),
-            configurationEffects,
-            () -> new ConfigurationEvent.Tick(random.getAsLong()),
-            CONTROL_TICK);
+    this.ownership = ownershipDuty(sockets, standing, membership, now);
   }
 
   void start() {
-    configuration.start();
     quota.start();
     repeats.start();
     scheduling.start();
     ownership.start();
     requests.start();
-    membership.start();
   }
 
   @Override
   public void close() {
-    membership.close();
     requests.close();
     ownership.close();
     scheduling.close();
     repeats.close();
     quota.close();
-    configuration.close();
   }
 
-  /** Returns the newest host list. */
-  HostList hostList() {
-    return membership.state().hostList();
+  /** Returns the barrier of the users of exclusive rights. */
+  RightsBarrier barrier() {
+    return barrier;
   }
 
   /** Returns the catalogue with which requests are decided. */
@@ -188,36 +136,13 @@
     return requests.state().catalogue();
   }
 
-  /** Returns the catalogue as it was declared. */
-  Catalogue declared() {
-    return configuration.state().catalogue();
-  }
-
-  /** Returns the number up to which all tickets are merged. */
-  long mergedThrough() {
-    return configuration.state().mergedThrough();
-  }
-
   int activeRequests() {
     return requests.state().activeCount();
   }
 
-  Readiness readiness(MonotonicTime now, MonotonicTime started) {
-    if (!configuration.state().ready()) {
-      return Readiness.notReady("configuration_unknown");
-    }
-    if (hostList().find(settings.host()).isEmpty()) {
-      return Readiness.notReady("host_not_listed");
-    }
-    boolean waited = now.since(started).compareTo(LONGEST_WAIT_FOR_SHARE) > 0;
-    if (!waited && !quota.state().hasShare(now)) {
-      return Readiness.notReady("no_share_of_limits");
-    }
-    return Readiness.READY;
-  }
-
-  private MembershipState membershipState() {
-    return membership.state();
+  /** Tells whether this host has a share of the limits of client accounts. */
+  boolean hasShare(MonotonicTime now) {
+    return quota.state().hasShare(now);
   }
 
   private long repeatVersion() {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -18,14 +19,10 @@
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.api.TicketNumber;
-import org.parsleyhead.core.membership.MembershipEvent;
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.entry.callers.CallerServer;
-import org.parsleyhead.entry.configuration.ConfigurationReader;
-import org.parsleyhead.entry.configuration.HostListReader;
-import org.parsleyhead.entry.configuration.ServiceClient;
-import org.parsleyhead.entry.peer.PeerTransport;
-import org.parsleyhead.entry.peer.PeerTransportSettings;
+import org.parsleyhead.entry.configuration.ControlPlane;
+import org.parsleyhead.entry.configuration.ControlPlaneSettings;
 import org.parsleyhead.entry.upstream.EngineClient;
 import org.parsleyhead.entry.upstream.UpstreamClient;
 import org.parsleyhead.runtime.administration.AdministrationServer;
@@ -51,6 +48,8 @@
 
   private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
   private static final Duration NOT_READY_NOTICE = Duration.ofSeconds(2);
+  private static final Duration LONGEST_WAIT_FOR_SHARE = Duration.ofMinutes(1);
+  private static final Duration LONGEST_RELEASE = Duration.ofSeconds(3);
   private static final int ACCEPTOR_THREADS = 1;
   private static final String HEARD_FROM_NOBODY = "nobody";
 
@@ -69,10 +68,8 @@
   private final EventLoopGroup workers;
   private final UpstreamClient upstreams;
   private final EngineClient engines;
-  private final PeerTransport peers;
-  private final ServiceClient configurationClient;
-  private final ServiceClient hostListClient;
-  private final HostListReader hostListReader;
+  private final CountDownLatch released = new CountDownLatch(1);
+  private final ControlPlane control;
   private final CallerServer callers;
   private final AdministrationServer administration;
 
@@ -94,34 +91,36 @@
             clock,
             rings.request()::offer);
     this.engines = new EngineClient(this::catalogue, clock, rings.ownership()::offer);
-    this.configurationClient = ServiceClient.create(settings.configurationService());
-    this.hostListClient = ServiceClient.create(settings.hostListService());
-    ConfigurationReader reader =
-        new ConfigurationReader(configurationClient, rings.configuration()::offer);
     PeerRouter router = new PeerRouter(self, rings, this::sendToPeer);
     PlainCalls plainCalls = new PlainCalls(rings, this::catalogue, clock);
     RequestEffects requestEffects =
         new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, plainCalls));
+    ControlPlaneSettings controlSettings =
+        ControlPlaneSettings.of(
+            self,
+            settings.peerEndpoint(),
+            settings.failureDomain(),
+            settings.configurationService(),
+            settings.hostListService(),
+            settings.attestationDuration());
     this.duties =
         new EntryDuties(
             settings,
-            self,
-            new DutySockets(rings, router, requestEffects, engines, reader, audit::record),
+            controlSettings.membership(),
+            new DutySockets(rings, router, requestEffects, engines),
             clock,
             random,
             log);
-    this.peers =
-        PeerTransport.start(
-            PeerTransportSettings.of(self, settings.peerEndpoint()),
+    this.control =
+        ControlPlane.start(
+            controlSettings,
             PeerMessages.codec(),
-            duties::hostList,
-            router::receive,
-            clock,
-            random);
-    this.hostListReader =
-        new HostListReader(
-            hostListClient,
-            list -> rings.membership().offer(new MembershipEvent.HostListRead(list)),
+            ControlListeners.create(
+                rings,
+                duties.barrier(),
+                new CatalogueDistribution(rings, audit::record, log),
+                released::countDown,
+                router::receive),
             clock,
             random);
     this.callers =
@@ -133,8 +132,8 @@
             acceptors,
             workers);
     metrics.gauge(EntryMetrics.ACTIVE_REQUESTS, duties::activeRequests);
-    metrics.gauge(EntryMetrics.PEER_BYTES_SENT, () -> peers.figures().bytesOut());
-    metrics.gauge(EntryMetrics.PEER_BYTES_RECEIVED, () -> peers.figures().bytesIn());
+    metrics.gauge(EntryMetrics.PEER_BYTES_SENT, () -> control.transport().figures().bytesOut());
+    metrics.gauge(EntryMetrics.PEER_BYTES_RECEIVED, () -> control.transport().figures().bytesIn());
     this.administration =
         AdministrationServer.start(
             settings.administrationEndpoint(),
@@ -152,7 +151,6 @@
     EntryProcess process = new EntryProcess(settings);
     process.audit.start();
     process.duties.start();
-    process.hostListReader.start();
     process.callers.start();
     process.log.info(
         "started",
@@ -180,13 +178,12 @@
     }
     boolean drained = exchanges.size() == 0;
     callers.close();
-    hostListReader.close();
+    control.requestStop();
+    awaitReleased();
+    control.close();
     duties.close();
-    peers.close();
     upstreams.close();
     engines.close();
-    configurationClient.close();
-    hostListClient.close();
     administration.close();
     audit.close();
     acceptors.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -200,20 +197,41 @@
   }
 
   private boolean sendToPeer(HostName host, PeerMessage message) {
-    return peers.send(host, message);
+    return control.transport().send(host, message);
   }
 
   private Readiness readiness() {
-    return exchanges.isStopping()
-        ? Readiness.notReady("stopping")
-        : duties.readiness(clock.now(), started);
+    if (exchanges.isStopping()) {
+      return Readiness.notReady("stopping");
+    }
+    if (!control.configuration().ready()) {
+      return Readiness.notReady("configuration_unknown");
+    }
+    if (control.membership().hostList().find(settings.host()).isEmpty()) {
+      return Readiness.notReady("host_not_listed");
+    }
+    MonotonicTime now = clock.now();
+    boolean waiting = now.since(started).compareTo(LONGEST_WAIT_FOR_SHARE) < 0;
+    return waiting && !duties.hasShare(now)
+        ? Readiness.notReady("no_share_of_limits")
+        : Readiness.READY;
+  }
+
+  private void awaitReleased() {
+    try {
+      if (!released.await(LONGEST_RELEASE.toMillis(), TimeUnit.MILLISECONDS)) {
+        log.warning("rights_not_released");
+      }
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private TicketStatus ticketStatus() {
-    Catalogue catalogue = duties.declared();
+    Catalogue catalogue = control.configuration().catalogue();
     return new TicketStatus(
         self.host(),
-        new TicketNumber(duties.mergedThrough()),
+        new TicketNumber(control.configuration().mergedThrough()),
         catalogue.highest(),
         catalogue.items().size(),
         Long.toHexString(catalogue.digests().root()),
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntrySettings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntrySettings.java
@@ -28,6 +28,8 @@
  * @param repeats the limits of the recognition of repetitions
  * @param tokens how tokens are counted before an upstream reports them
  * @param weightStore the allowance of the weight store
+ * @param attestationDuration how long an attestation between hosts binds; how long exclusive rights
+ *     rest when they go from one host to another
  * @param policy the name of the scheduling policy
  * @param lending whether hosts lend each other shares of rate and burst
  * @param workerThreads how many event loops serve callers and upstreams
@@ -46,6 +48,7 @@
     RepeatSettings repeats,
     TokenEstimate tokens,
     WeightStoreAllowance weightStore,
+    Duration attestationDuration,
     String policy,
     boolean lending,
     int workerThreads,
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntrySettingsReader.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntrySettingsReader.java
@@ -23,6 +23,7 @@
   private static final Endpoint FALLBACK_ENDPOINT = new Endpoint("0.0.0.0", 1);
   private static final HostName FALLBACK_HOST = new HostName("invalid");
   private static final FailureDomainName FALLBACK_DOMAIN = new FailureDomainName("invalid");
+  private static final Duration SHORTEST_ATTESTATION = Duration.ofSeconds(3);
   private static final List<String> POLICIES =
       List.of(
           SchedulingPolicy.ADAPTIVE,
@@ -52,6 +53,7 @@
             readRepeats(reader),
             readTokens(reader),
             readWeightStore(reader),
+            reader.duration("rights.attestation_duration", Duration.ofSeconds(5)),
             readPolicy(reader),
             reader.flag("limits.lending", true),
             (int) reader.number("host.worker_threads", 1, 64, 2),
@@ -60,6 +62,9 @@
       reader.reject(
           "repeats.window", "must be longer than " + RequestSettings.REPEAT_CHECK_VALIDITY);
     }
+    if (settings.attestationDuration().compareTo(SHORTEST_ATTESTATION) < 0) {
+      reader.reject("rights.attestation_duration", "must be at least " + SHORTEST_ATTESTATION);
+    }
     reader.finish();
     return settings;
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/PeerRouter.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/PeerRouter.java
@@ -9,11 +9,9 @@
 import java.util.function.Consumer;
 import org.parsleyhead.codec.peer.EngineMessageTypes;
 import org.parsleyhead.codec.peer.Envelope;
-import org.parsleyhead.codec.peer.MembershipMessages;
 import org.parsleyhead.codec.peer.MessageType;
 import org.parsleyhead.codec.peer.QuotaMessageTypes;
 import org.parsleyhead.codec.peer.RepeatMessageTypes;
-import org.parsleyhead.codec.peer.TicketMessages;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.api.Preconditions;
@@ -24,10 +22,8 @@
 import org.parsleyhead.core.engine.PinRecall;
 import org.parsleyhead.core.engine.PinRefusal;
 import org.parsleyhead.core.idempotency.RepeatEvent;
-import org.parsleyhead.core.membership.MembershipEvent;
 import org.parsleyhead.core.quota.QuotaEvent;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
-import org.parsleyhead.core.ticket.ConfigurationEvent;
 
 /**
  * Hands messages of hosts to the duty that they are for, and messages of duties to the host that
@@ -76,16 +72,6 @@
 
   private static Map<Class<?>, Consumer<Envelope>> duties(Rings rings) {
     Map<Class<?>, Consumer<Envelope>> duties = new HashMap<>();
-    register(
-        duties,
-        MembershipMessages.TYPES,
-        (sender, message) ->
-            rings.membership().offer(new MembershipEvent.MessageReceived(sender, message)));
-    register(
-        duties,
-        TicketMessages.TYPES,
-        (sender, message) ->
-            rings.configuration().offer(new ConfigurationEvent.MessageReceived(sender, message)));
     register(
         duties,
         QuotaMessageTypes.ALL,
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RightsBarrier.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RightsBarrier.java
@@ -1,51 +1,60 @@
 package org.parsleyhead.entry.process;
 
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
-import org.parsleyhead.core.api.Preconditions;
-import org.parsleyhead.core.membership.MembershipEvent;
 import org.parsleyhead.core.membership.Standing;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
 
 /**
- * Tells the membership duty when every user of exclusive rights acts on a version of the host list.
+ * Tells when every user of exclusive rights acts on a standing.
  *
  * <p>Thread-safe. The quota duty tells each standing that it has put in force; the other users are
- * asked for the version that their last state acts on.
+ * asked for the version of the host list that their last state acts on. A standing that the others
+ * had not reached by then is superseded by the next one, which comes within a second.
  */
 final class RightsBarrier {
 
   private static final int REMEMBERED_STANDINGS = 1_024;
 
   private final List<LongSupplier> versionsInUse;
-  private final Consumer<MembershipEvent> membership;
-  private volatile PMap<Long, Long> versions = HashTreePMap.empty();
+  private final AtomicLong sequence = new AtomicLong();
+  private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
 
   /**
    * Creates a barrier.
    *
    * @param versionsInUse the version that each user but the quota duty acts on
-   * @param membership takes the event
    */
-  RightsBarrier(List<LongSupplier> versionsInUse, Consumer<MembershipEvent> membership) {
+  RightsBarrier(List<LongSupplier> versionsInUse) {
     this.versionsInUse = List.copyOf(versionsInUse);
-    this.membership = Preconditions.requireNonNull(membership, "membership");
   }
 
-  /** Notes a standing before it is handed to its users. */
-  synchronized void issued(long sequence, Standing standing) {
-    versions = versions.plus(sequence, standing.version()).minus(sequence - REMEMBERED_STANDINGS);
+  /** Notes a standing before it is handed to its users, and returns its sequence number. */
+  long issue(Standing standing, Runnable applied) {
+    long number = sequence.incrementAndGet();
+    pending.put(number, new Pending(standing.version(), applied));
+    pending.remove(number - REMEMBERED_STANDINGS);
+    return number;
   }
 
   /** Is told that the quota duty acts on a standing. */
-  void appliedByQuota(long sequence) {
-    Long version = versions.get(sequence);
+  void appliedByQuota(long number) {
+    Pending issued = pending.remove(number);
     boolean applied =
-        version != null && versionsInUse.stream().allMatch(inUse -> inUse.getAsLong() >= version);
+        issued != null
+            && versionsInUse.stream().allMatch(inUse -> inUse.getAsLong() >= issued.version());
     if (applied) {
-      membership.accept(new MembershipEvent.StandingApplied(sequence));
+      issued.applied().run();
     }
   }
+
+  /**
+   * A standing that was handed out.
+   *
+   * @param version its version of the host list
+   * @param applied to be run when every user acts on it
+   */
+  private record Pending(long version, Runnable applied) {}
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/Rings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/Rings.java
@@ -2,11 +2,9 @@
 
 import org.parsleyhead.core.engine.EngineEvent;
 import org.parsleyhead.core.idempotency.RepeatEvent;
-import org.parsleyhead.core.membership.MembershipEvent;
 import org.parsleyhead.core.quota.QuotaEvent;
 import org.parsleyhead.core.request.RequestEvent;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
-import org.parsleyhead.core.ticket.ConfigurationEvent;
 import org.parsleyhead.runtime.duty.Ring;
 import org.parsleyhead.runtime.metrics.Metrics;
 
@@ -22,17 +20,13 @@
  * @param quota events of rate and burst
  * @param scheduling events of the choice of engines
  * @param ownership events of engine ownership
- * @param membership events of membership
- * @param configuration events of the configuration
  */
 record Rings(
     Ring<RequestEvent> request,
     Ring<RepeatEvent> repeat,
     Ring<QuotaEvent> quota,
     Ring<SchedulingEvent> scheduling,
-    Ring<EngineEvent> ownership,
-    Ring<MembershipEvent> membership,
-    Ring<ConfigurationEvent> configuration) {
+    Ring<EngineEvent> ownership) {
 
   private static final int EVENTS_PER_REQUEST = 8;
   private static final int CONTROL_EVENTS = 8_192;
@@ -45,9 +39,7 @@
         new Ring<>("repeat", perRequest),
         new Ring<>("quota", perRequest),
         new Ring<>("scheduling", perRequest),
-        new Ring<>("ownership", CONTROL_EVENTS),
-        new Ring<>("membership", CONTROL_EVENTS),
-        new Ring<>("configuration", CONTROL_EVENTS));
+        new Ring<>("ownership", CONTROL_EVENTS));
   }
 
   /** Registers sizes and refusals. */
@@ -57,7 +49,5 @@
     metrics.ring(quota);
     metrics.ring(scheduling);
     metrics.ring(ownership);
-    metrics.ring(membership);
-    metrics.ring(configuration);
   }
 }
--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/FakeFleet.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/FakeFleet.java
@@ -38,6 +38,7 @@
   private static final int DOMAINS = 3;
   private static final int CELL_SIZE = 6;
   private static final SecureRandom RANDOM = new SecureRandom();
+  private static final Duration USUAL_ATTESTATION = Duration.ofSeconds(10);
 
   private final List<Host> hosts = new ArrayList<>();
   private final List<HostEntry> entries = new ArrayList<>();
@@ -97,7 +98,13 @@
           Stream.of(MembershipMessages.TYPES, TicketMessages.TYPES).flatMap(List::stream).toList();
       plane =
           ControlPlane.start(
-              ControlPlaneSettings.of(self, entry.peerEndpoint(), entry.failureDomain(), service),
+              ControlPlaneSettings.of(
+                  self,
+                  entry.peerEndpoint(),
+                  entry.failureDomain(),
+                  service,
+                  service,
+                  USUAL_ATTESTATION),
               new PeerMessageCodec(types),
               new ControlPlaneListener(
                   (changed, applied) -> {
@@ -117,6 +124,7 @@
         Sender self, HostEntry entry, URI service, Duration attestationDuration) {
       MembershipSettings usual = MembershipSettings.of(self.host(), self.incarnation());
       return new ControlPlaneSettings(
+          service,
           service,
           new MembershipSettings(
               usual.self(),
--- /dev/null
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration. */
+package org.parsleyhead.integration.demo;
