--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Configuration.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Configuration.java
@@ -61,7 +61,7 @@
       return receive(state, from, received.message(), time, effects);
     }
     if (event instanceof ConfigurationEvent.HostsChanged hosts) {
-      return hostsChanged(state, hosts, effects);
+      return hostsChanged(state, hosts, time, effects);
     }
     return takeServiceAnswer(state, event, time, effects);
   }
@@ -73,7 +73,7 @@
       MonotonicTime time,
       List<ConfigurationEffect> effects) {
     if (message instanceof TicketFragment fragment) {
-      return merging.fragment(state, fragment, new ChangeSource.Peer(from), effects);
+      return merging.fragment(state, fragment, new ChangeSource.Peer(from), time, effects);
     }
     if (message instanceof ConfigurationSummary summary) {
       return exchange.summary(state, from, summary, time, effects);
@@ -90,8 +90,9 @@
   private ConfigurationState hostsChanged(
       ConfigurationState state,
       ConfigurationEvent.HostsChanged hosts,
+      MonotonicTime time,
       List<ConfigurationEffect> effects) {
-    PeerState peers = state.peers().withHosts(hosts.list(), hosts.alive());
+    PeerState peers = state.peers().withHosts(hosts.list(), hosts.alive(), time);
     ConfigurationState changed = state.withPeers(peers);
     if (peers.list().leavingUpstreams().equals(state.peers().list().leavingUpstreams())) {
       return changed;
@@ -158,7 +159,7 @@
     ServiceRead part = new ServiceRead.TicketPart(number, fragment.part(), fragment.parts());
     ServiceState ended = state.service().ended(head).ended(part);
     ConfigurationState merged =
-        merging.fragment(state.withService(ended), fragment, SERVICE, effects);
+        merging.fragment(state.withService(ended), fragment, SERVICE, time, effects);
     boolean refused =
         !merged.applied().contains(number.value())
             && merged.staging().tickets().get(number.value()) == null;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Merging.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Merging.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.membership.RandomNumbers;
 
@@ -26,6 +28,7 @@
       ConfigurationState state,
       TicketFragment fragment,
       ChangeSource source,
+      MonotonicTime time,
       List<ConfigurationEffect> effects) {
     long number = fragment.number().value();
     if (state.applied().contains(number)) {
@@ -36,7 +39,11 @@
     return complete.isEmpty()
         ? staged
         : ticket(
-            staged.withStaging(staged.staging().minus(number)), complete.get(), source, effects);
+            staged.withStaging(staged.staging().minus(number)),
+            complete.get(),
+            source,
+            time,
+            effects);
   }
 
   /** Merges items that together bring all tickets up to a number. */
@@ -54,6 +61,7 @@
       ConfigurationState state,
       List<TicketFragment> fragments,
       ChangeSource source,
+      MonotonicTime time,
       List<ConfigurationEffect> effects) {
     TicketNumber number = fragments.get(0).number();
     List<Change> changes =
@@ -62,7 +70,6 @@
     if (ticket.isEmpty()) {
       return state;
     }
-    pushToOthers(state, fragments, source, effects);
     List<HeardItem> items =
         changes.stream()
             .map(change -> new HeardItem(change.key(), new VersionedItem(number, change.item())))
@@ -71,7 +78,11 @@
         state
             .withApplied(state.applied().plus(number.value()))
             .withLog(state.log().plus(fragments));
-    return merge(noted, items, source, effects);
+    List<ConfigurationEffect> merged = new ArrayList<>();
+    ConfigurationState after = merge(noted, items, source, merged);
+    tellOthers(after, fragments, source, time, effects);
+    effects.addAll(merged);
+    return after;
   }
 
   private static Optional<Ticket> valid(
@@ -112,20 +123,24 @@
         item.key(), item.versioned().number(), former, item.versioned().item());
   }
 
-  private void pushToOthers(
+  /** Passes a short ticket on to a few hosts; of a long one only the summary, to compare with. */
+  private void tellOthers(
       ConfigurationState state,
       List<TicketFragment> fragments,
       ChangeSource source,
+      MonotonicTime time,
       List<ConfigurationEffect> effects) {
     List<HostName> candidates = new ArrayList<>(state.peers().others(settings.self()));
     if (source instanceof ChangeSource.Peer peer) {
       candidates.remove(peer.host());
     }
+    PeerMessage news =
+        TicketLog.isShort(fragments) ? fragments.get(0) : PeerExchange.summaryOf(state, true, time);
     long seed = state.seed() ^ fragments.get(0).number().value();
     for (int index = 0; index < settings.pushFanout() && !candidates.isEmpty(); index++) {
       HostName host = RandomNumbers.choose(candidates, RandomNumbers.derive(seed, index));
       candidates.remove(host);
-      fragments.forEach(fragment -> effects.add(new ConfigurationEffect.Send(host, fragment)));
+      effects.add(new ConfigurationEffect.Send(host, news));
     }
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerExchange.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerExchange.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.ticket;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,8 @@
   private static final long NO_SEED = 0;
   private static final int START_FANOUT = 3;
   private static final int MAXIMUM_PART_BYTES = 512 * 1024;
+  private static final int FEW_BUCKETS = 16;
+  private static final Duration LONG_TRANSFER_INTERVAL = Duration.ofSeconds(10);
   private static final int MAXIMUM_TRANSFERS = 4;
 
   private final ConfigurationSettings settings;
@@ -97,7 +100,9 @@
     if (!comparison.answerWanted() || differing.isEmpty() || busy) {
       return sent;
     }
-    PeerState peers = sent.peers().withNextTransfer(time.plus(settings.comparisonInterval()));
+    Duration pause =
+        differing.size() > FEW_BUCKETS ? LONG_TRANSFER_INTERVAL : settings.comparisonInterval();
+    PeerState peers = sent.peers().withNextTransfer(time.plus(pause));
     return sendDigests(sent.withPeers(peers), from, false, effects);
   }
 
@@ -203,7 +208,7 @@
     return parts;
   }
 
-  private static ConfigurationSummary summaryOf(
+  static ConfigurationSummary summaryOf(
       ConfigurationState state, boolean answerWanted, MonotonicTime time) {
     return new ConfigurationSummary(
         state.mergedThrough(),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/PeerState.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.ticket;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -15,6 +16,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param list the host list
+ * @param listedAt when a host list was first read
  * @param alive the hosts that count as alive
  * @param nextComparison when the next comparison is due
  * @param nextTransfer when the next transfer of items may be asked for
@@ -26,6 +28,7 @@
  */
 record PeerState(
     HostList list,
+    Optional<MonotonicTime> listedAt,
     Set<HostName> alive,
     MonotonicTime nextComparison,
     MonotonicTime nextTransfer,
@@ -38,6 +41,7 @@
   static PeerState initial(MonotonicTime time) {
     return new PeerState(
         HostList.EMPTY,
+        Optional.empty(),
         Set.of(),
         time,
         time,
@@ -48,10 +52,12 @@
         0);
   }
 
-  PeerState withHosts(HostList newList, Set<HostName> newAlive) {
+  PeerState withHosts(HostList newList, Set<HostName> newAlive, MonotonicTime time) {
     HostList newest = newList.version() >= list.version() ? newList : list;
+    boolean first = listedAt.isEmpty() && newest.version() > HostList.EMPTY.version();
     return new PeerState(
         newest,
+        first ? Optional.of(time) : listedAt,
         newAlive,
         nextComparison,
         nextTransfer,
@@ -65,6 +71,7 @@
   PeerState withNextComparison(MonotonicTime next) {
     return new PeerState(
         list,
+        listedAt,
         alive,
         next,
         nextTransfer,
@@ -78,6 +85,7 @@
   PeerState withNextTransfer(MonotonicTime next) {
     return new PeerState(
         list,
+        listedAt,
         alive,
         nextComparison,
         next,
@@ -91,6 +99,7 @@
   PeerState withTransfers(PMap<HostName, PMap<Integer, ItemTransfer>> parts) {
     return new PeerState(
         list,
+        listedAt,
         alive,
         nextComparison,
         nextTransfer,
@@ -104,6 +113,7 @@
   PeerState withDrawnIdentifier() {
     return new PeerState(
         list,
+        listedAt,
         alive,
         nextComparison,
         nextTransfer,
@@ -117,6 +127,7 @@
   PeerState withComparison(HostName host, long identifier) {
     return new PeerState(
         list,
+        listedAt,
         alive,
         nextComparison,
         nextTransfer,
@@ -130,6 +141,7 @@
   PeerState heard(boolean ready, long mergedThrough) {
     return new PeerState(
         list,
+        listedAt,
         alive,
         nextComparison,
         nextTransfer,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Readiness.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Readiness.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.ticket;
 
+import java.time.Duration;
 import java.util.List;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.TicketNumber;
@@ -11,7 +12,7 @@
  * <p>Stateless apart from its settings and thread-safe. A host is ready when it has merged what
  * every host that answered had merged, and what the service published as far as it could be read;
  * and either a ready host and the service have answered, or one of the two within the start
- * patience. Without either it stays not ready.
+ * patience. Without either, or without a host list, it stays not ready.
  */
 final class Readiness {
 
@@ -25,7 +26,11 @@
 
   boolean isReady(ConfigurationState state, MonotonicTime time) {
     ServiceState service = state.service();
-    boolean patient = time.since(state.startedAt()).compareTo(settings.startPatience()) >= 0;
+    if (state.peers().listedAt().isEmpty()) {
+      return false;
+    }
+    Duration waited = time.since(state.peers().listedAt().get());
+    boolean patient = waited.compareTo(settings.startPatience()) >= 0;
     boolean serviceRead =
         service.latestRead() && service.snapshot().status() == SnapshotStatus.DONE;
     boolean peerHeard = state.peers().readyPeerHeard();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/TicketLog.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/TicketLog.java
@@ -18,7 +18,7 @@
   private static final int MAXIMUM_CHANGES = 32;
 
   TicketLog plus(List<TicketFragment> fragments) {
-    if (fragments.size() > 1 || fragments.get(0).changes().size() > MAXIMUM_CHANGES) {
+    if (!isShort(fragments)) {
       return this;
     }
     TicketFragment whole = fragments.get(0);
@@ -26,6 +26,11 @@
     return new TicketLog(kept.size() > MAXIMUM_TICKETS ? kept.minus(kept.firstKey()) : kept);
   }
 
+  /** Tells whether a ticket is so short that it is passed on as it was published. */
+  static boolean isShort(List<TicketFragment> fragments) {
+    return fragments.size() == 1 && fragments.get(0).changes().size() <= MAXIMUM_CHANGES;
+  }
+
   /** Returns all tickets above one number and up to another; empty if one is not kept. */
   List<TicketFragment> between(long above, long through) {
     if (through - above > MAXIMUM_TICKETS) {
