Keep shared values of the catalogue once

Cause: 86,000 adapters took 529 bytes each, 45 MB, above the 32 MB that a node may spend on control. Ruled out: a packed form of items, which every reader of the catalogue would have to unpack. Change: models, version sets and account sets are pooled; items stand in a tree ordered by key in place of a hash tree with a list and an entry for each item.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Catalogue.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/ticket/Catalogue.java
@@ -11,8 +11,8 @@
 import org.parsleyhead.core.api.ModelName;
 import org.parsleyhead.core.api.TicketNumber;
 import org.parsleyhead.core.api.UpstreamName;
-import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.pcollections.TreePMap;
 
 /**
  * Everything that tickets have declared, merged item by item.
@@ -31,6 +31,7 @@
   private final BucketDigests digests;
   private final CatalogueIndexes indexes;
   private final Set<UpstreamName> leaving;
+  private final ItemPool pool;
 
   private Catalogue(
       MergeRule rule,
@@ -38,13 +39,15 @@
       TicketNumber highest,
       BucketDigests digests,
       CatalogueIndexes indexes,
-      Set<UpstreamName> leaving) {
+      Set<UpstreamName> leaving,
+      ItemPool pool) {
     this.rule = rule;
     this.items = items;
     this.highest = highest;
     this.digests = digests;
     this.indexes = indexes;
     this.leaving = leaving;
+    this.pool = pool;
   }
 
   /** Returns the catalogue before the first ticket. */
@@ -55,11 +58,12 @@
   static Catalogue empty(MergeRule rule) {
     return new Catalogue(
         rule,
-        HashTreePMap.empty(),
+        TreePMap.empty(),
         TicketNumber.NONE,
         BucketDigests.empty(),
         CatalogueIndexes.empty(),
-        Set.of());
+        Set.of(),
+        ItemPool.EMPTY);
   }
 
   /** Returns the catalogue after a ticket; all of its changes are visible or none. */
@@ -74,7 +78,8 @@
         later(highest, ticket.number()),
         merged.digests,
         merged.indexes,
-        leaving);
+        leaving,
+        merged.pool);
   }
 
   /** Returns the catalogue after one item was heard of; older news changes nothing. */
@@ -85,18 +90,23 @@
     }
     TicketNumber before = known == null ? TicketNumber.NONE : known.number();
     Optional<Item> former = known == null ? Optional.empty() : known.item();
+    TicketNumber latest = later(highest, heard.number());
+    TicketNumber number = latest.equals(heard.number()) ? latest : heard.number();
+    ItemPool pooled = pool.plus(heard.item());
+    VersionedItem shared = new VersionedItem(number, pooled.share(heard.item()));
     return new Catalogue(
         rule,
-        items.plus(key, heard),
-        later(highest, heard.number()),
-        digests.replace(key, before, heard.number()),
-        indexes.replace(former, heard.item()),
-        leaving);
+        items.plus(key, shared),
+        latest,
+        digests.replace(key, before, number),
+        indexes.replace(former, shared.item()),
+        leaving,
+        pooled);
   }
 
   /** Returns this catalogue with a set of upstreams that the host list declares as leaving. */
   public Catalogue withLeaving(Set<UpstreamName> upstreams) {
-    return new Catalogue(rule, items, highest, digests, indexes, Set.copyOf(upstreams));
+    return new Catalogue(rule, items, highest, digests, indexes, Set.copyOf(upstreams), pool);
   }
 
   /** Returns the highest ticket number heard of. */
