--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Cut.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Cut.java
@@ -31,11 +31,15 @@
     return members.contains(host) ? QuotaUnits.PARTS / members.size() : 0;
   }
 
-  /** Tells whether hosts are more than half of the members, or half with the first member. */
+  /**
+   * Tells whether hosts are more than half of the members, or half with the first member. Of two
+   * members both are needed, so that no single host can go on beside a cell that was formed anew.
+   */
   public boolean isQuorum(Collection<HostName> hosts) {
     long inside = members.stream().filter(hosts::contains).count();
     long outside = members.size() - inside;
-    return inside > outside || (inside == outside && hosts.contains(members.first()));
+    boolean half = inside == outside && members.size() > 2;
+    return inside > outside || (half && hosts.contains(members.first()));
   }
 
   /**
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
@@ -0,0 +1,234 @@
+package org.parsleyhead.core.quota;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.BiFunction;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.HostName;
+
+@DisplayName("A fleet under faults")
+class QuotaFaultTests {
+
+  private static final long RATE = 2_000;
+  private static final long BURST = 4_000;
+  private static final long LENGTH = 150 * FakeFleet.SECOND;
+  private static final int FEW_SCHEDULES = 60;
+  private static final int MANY_SCHEDULES = 3_000;
+
+  @Test
+  @DisplayName("never admits more than rate and burst")
+  void keepsBound() {
+    check(1, FEW_SCHEDULES);
+  }
+
+  @Test
+  @Tag("long-running")
+  @DisplayName("never admits more than rate and burst in thousands of schedules")
+  void keepsBoundInMany() {
+    check(10_000, MANY_SCHEDULES);
+  }
+
+  @Test
+  @DisplayName("never admits more while a dropped host has not heard that it is dropped")
+  void keepsBoundWithDroppedHost() {
+    double taken = runWithDroppedHost(QuotaTransition::new);
+    System.out.println("admitted over allowed with a dropped host: " + taken);
+    assertTrue(taken <= 1);
+  }
+
+  /** Drops one of three hosts that goes on with the old list, under several times the rate. */
+  private static double runWithDroppedHost(
+      BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
+    FakeFleet fleet =
+        new FakeFleet(5, 3, FakeFleet.limits(1, RATE, BURST), LendingPolicy.none(), transitions);
+    fleet.usedShare = () -> 1;
+    FakeHost dropped = fleet.hosts.get(2);
+    fleet.at(
+        25 * FakeFleet.SECOND,
+        () -> {
+          dropped.ignoreLists();
+          fleet.publish(new TreeSet<>(fleet.listed.headSet(dropped.name)), 0);
+        });
+    for (long time = 27 * FakeFleet.SECOND; time < 60 * FakeFleet.SECOND; ) {
+      time += 10 * FakeFleet.MILLISECOND;
+      fleet.at(time, () -> fleet.request(fleet.hosts.get(fleet.random.nextInt(3)), 200));
+    }
+    fleet.runUntil(60 * FakeFleet.SECOND);
+    return fleet.ledger.admittedOverAllowed();
+  }
+
+  private static void check(long firstSeed, int schedules) {
+    double worst = 0;
+    long admitted = 0;
+    for (long seed = firstSeed; seed < firstSeed + schedules; seed++) {
+      FakeFleet fleet = run(seed, QuotaTransition::new);
+      double taken = fleet.ledger.admittedOverAllowed();
+      admitted += fleet.ledger.admittedRequests();
+      worst = Math.max(worst, taken);
+      assertTrue(taken <= 1, "seed " + seed + " took " + taken);
+    }
+    System.out.printf(
+        "%d schedules from seed %d: %d requests, admitted over allowed at most %.4f%n",
+        schedules, firstSeed, admitted, worst);
+  }
+
+  /** Runs one schedule of faults under a load of several times the rate. */
+  private static FakeFleet run(
+      long seed, BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
+    int size = 3 + (int) (seed % 4);
+    FakeFleet fleet =
+        new FakeFleet(
+            seed, size, FakeFleet.limits(1, RATE, BURST), LendingPolicy.byDemand(), transitions);
+    fleet.duplication = 0.05;
+    // Most requests use all that they reserved, and some nothing.
+    fleet.usedShare = () -> fleet.random.nextInt(10) < 8 ? 1 : 0;
+    long time = 15 * FakeFleet.SECOND;
+    while (time < LENGTH) {
+      time += (long) (fleet.random.nextDouble() * 20 * FakeFleet.SECOND);
+      fleet.at(time, () -> fault(fleet));
+    }
+    // Waves: buckets fill up while few requests come, and are emptied by many.
+    double request = 0;
+    while (request < LENGTH) {
+      boolean busy = (long) request / (5 * FakeFleet.SECOND) % 2 == 0;
+      request += -Math.log(1 - fleet.random.nextDouble()) * FakeFleet.SECOND / (busy ? 20 : 1);
+      fleet.at((long) request, () -> fleet.request(target(fleet), 1_000));
+    }
+    fleet.runUntil(LENGTH);
+    return fleet;
+  }
+
+  private static FakeHost target(FakeFleet fleet) {
+    boolean moving = fleet.now / (20 * FakeFleet.SECOND) % 2 == 0;
+    int index =
+        moving
+            ? (int) (fleet.now / (5 * FakeFleet.SECOND) % fleet.hosts.size())
+            : fleet.random.nextInt(fleet.hosts.size());
+    return fleet.hosts.get(index);
+  }
+
+  private static void fault(FakeFleet fleet) {
+    FakeHost host = fleet.hosts.get(fleet.random.nextInt(fleet.hosts.size()));
+    long duration = (long) (Math.pow(fleet.random.nextDouble(), 2) * 40 * FakeFleet.SECOND);
+    switch (fleet.random.nextInt(9)) {
+      case 0 -> host.pause(duration);
+      case 1 -> host.start();
+      case 2 -> {
+        host.stop();
+        fleet.after(duration, host::start);
+      }
+      case 3, 4 -> partition(fleet, duration);
+      case 5 -> {
+        fleet.loss = 0.4;
+        fleet.after(duration, () -> fleet.loss = 0);
+      }
+      case 6 -> {
+        fleet.longestDelay = 4 * FakeFleet.SECOND;
+        fleet.after(duration, () -> fleet.longestDelay = 3 * FakeFleet.MILLISECOND);
+      }
+      case 7 -> changeList(fleet, host, duration);
+      default -> declare(fleet, duration / 4);
+    }
+  }
+
+  private static void partition(FakeFleet fleet, long duration) {
+    fleet.hosts.forEach(host -> host.side = fleet.random.nextInt(2));
+    fleet.after(duration, () -> fleet.hosts.forEach(host -> host.side = 0));
+  }
+
+  /** Drops one host from the list, or takes the dropped one back. */
+  private static void changeList(FakeFleet fleet, FakeHost host, long lag) {
+    TreeSet<HostName> members = new TreeSet<>();
+    fleet.hosts.forEach(each -> members.add(each.name));
+    if (members.equals(fleet.listed)) {
+      members.remove(host.name);
+    }
+    fleet.publish(members, lag);
+  }
+
+  private static void declare(FakeFleet fleet, long lag) {
+    boolean paused = fleet.hosts.stream().anyMatch(FakeHost::isPaused);
+    if (!paused) {
+      long factor = 1 + fleet.random.nextInt(3);
+      long ticket = fleet.limits.ticket().value() + 1;
+      fleet.declare(FakeFleet.limits(ticket, RATE * factor / 2, BURST * factor / 2), lag);
+    }
+  }
+
+  @Nested
+  @DisplayName("without one of the rules")
+  class WithoutRule {
+
+    @Test
+    @DisplayName("exceeds the bound if a new cut does not wait")
+    void withoutWait() {
+      double taken =
+          runWithDroppedHost(
+              (settings, policy) ->
+                  transition(
+                      settings,
+                      policy,
+                      Duration.ZERO,
+                      TokenBucket::refund,
+                      settings.driftMargin()));
+      System.out.println("admitted over allowed without the wait: " + taken);
+      assertTrue(taken > 1);
+    }
+
+    @Test
+    @DisplayName("exceeds the bound if a lender does not wait for the borrower")
+    void withoutLenderWait() {
+      breaks(
+          (settings, policy) ->
+              transition(
+                  settings,
+                  policy,
+                  settings.installWait(),
+                  TokenBucket::refund,
+                  settings.loanDuration().negated()));
+    }
+
+    @Test
+    @DisplayName("exceeds the bound if refunds go by the present room only")
+    void withoutHistory() {
+      breaks(
+          (settings, policy) ->
+              transition(
+                  settings,
+                  policy,
+                  settings.installWait(),
+                  (bucket, mark, amount) -> bucket.receive(amount),
+                  settings.driftMargin()));
+    }
+
+    private static void breaks(
+        BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
+      List<Double> taken = new ArrayList<>();
+      for (long seed = 1; seed <= FEW_SCHEDULES && taken.stream().noneMatch(t -> t > 1); seed++) {
+        taken.add(run(seed, transitions).ledger.admittedOverAllowed());
+      }
+      System.out.println("admitted over allowed with a rule left out: " + taken);
+      assertFalse(taken.stream().noneMatch(share -> share > 1));
+    }
+
+    private static QuotaTransition transition(
+        QuotaSettings settings,
+        LendingPolicy policy,
+        Duration installWait,
+        RefundRule refundRule,
+        Duration loanMargin) {
+      return new QuotaTransition(
+          new ShareRules(settings, installWait),
+          new AdmissionRules(settings, refundRule),
+          new LoanRules(settings, loanMargin, policy, new Needs()));
+    }
+  }
+}
