Test the operators' program on declarations of its own

Ruled out: approving the demonstration's tickets again at each change of it. Change: the approved texts belong to a fixture; of the demonstration it is tested that it has items of every kind and no problems.

--- a/parsleyhead-operator/src/test/java/org/parsleyhead/operator/OperatorMainTests.java
+++ b/parsleyhead-operator/src/test/java/org/parsleyhead/operator/OperatorMainTests.java
@@ -30,7 +30,7 @@
 @UseReporter(QuietReporter.class)
 class OperatorMainTests {
 
-  private static final String DEMO = "../etc/declarations-demo";
+  private static final String DECLARED = "src/test/resources/declarations";
 
   private final Map<String, String> pages = new HashMap<>();
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
@@ -50,19 +50,19 @@
   class Renders {
 
     @Test
-    @DisplayName("the first ticket of the demonstration with its snapshot")
+    @DisplayName("a first ticket with its snapshot")
     void firstTicket() throws IOException {
-      assertEquals(ExitStatus.SUCCESS, render(DEMO, 1), error());
+      assertEquals(ExitStatus.SUCCESS, render(DECLARED, 1), error());
       Approvals.verify(published());
     }
 
     @Test
     @DisplayName("a second ticket with what has changed, and tombstones")
     void secondTicket() throws IOException {
-      render(DEMO, 1);
-      Path changed = changedDemo();
+      render(DECLARED, 1);
+      Path changed = changed();
       assertEquals(
-          ExitStatus.SUCCESS, run("diff", changed.toString(), "--previous", DEMO), error());
+          ExitStatus.SUCCESS, run("diff", changed.toString(), "--previous", DECLARED), error());
       assertEquals(ExitStatus.SUCCESS, render(changed.toString(), 2), error());
       Approvals.verify(output() + "\n" + published());
     }
@@ -70,9 +70,9 @@
     @Test
     @DisplayName("nothing if nothing has changed")
     void unchanged() throws IOException {
-      render(DEMO, 1);
+      render(DECLARED, 1);
       String before = published();
-      assertEquals(ExitStatus.SUCCESS, render(DEMO, 2));
+      assertEquals(ExitStatus.SUCCESS, render(DECLARED, 2));
       assertTrue(output().endsWith("ticket=none changes=0\n"));
       assertEquals(before, published());
     }
@@ -80,11 +80,11 @@
     @Test
     @DisplayName("only the number behind the last ticket")
     void onlyNextNumber() {
-      assertEquals(ExitStatus.USAGE, render(DEMO, 2));
+      assertEquals(ExitStatus.USAGE, render(DECLARED, 2));
       assertTrue(error().contains("--number must be 1"), error());
-      render(DEMO, 1);
-      assertEquals(ExitStatus.USAGE, render(DEMO, 1));
-      assertEquals(ExitStatus.USAGE, render(DEMO, 3));
+      render(DECLARED, 1);
+      assertEquals(ExitStatus.USAGE, render(DECLARED, 1));
+      assertEquals(ExitStatus.USAGE, render(DECLARED, 3));
     }
 
     @Test
@@ -94,9 +94,9 @@
           ExitStatus.SUCCESS,
           run(
               "render",
-              changedDemo().toString(),
+              changed().toString(),
               "--previous",
-              DEMO,
+              DECLARED,
               "--number",
               "5",
               "--output",
@@ -197,11 +197,11 @@
     return folder.resolve("documents");
   }
 
-  /** The demonstration without the depot's key and with another version of an adapter. */
-  private Path changedDemo() throws IOException {
+  /** The declarations without the depot's key and with another version of an adapter. */
+  private Path changed() throws IOException {
     Path changed = Files.createDirectory(folder.resolve("changed"));
     for (String file : List.of("adapters", "client-accounts", "routes", "upstreams")) {
-      String text = Files.readString(Path.of(DEMO, file + ".toml"));
+      String text = Files.readString(Path.of(DECLARED, file + ".toml"));
       text = text.replace("versions = [3]", "versions = [3, 4]");
       text = text.replaceFirst("\\[key\\.0c[0-9a-f]*]\nclient_account = \"depot\"\n", "");
       Files.writeString(changed.resolve(file + ".toml"), text);
--- a/parsleyhead-operator/src/test/java/org/parsleyhead/operator/declaration/DeclarationParserTests.java
+++ b/parsleyhead-operator/src/test/java/org/parsleyhead/operator/declaration/DeclarationParserTests.java
@@ -7,10 +7,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.parsleyhead.core.api.RouteName;
 import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.ticket.ItemKey;
+import org.parsleyhead.core.ticket.ItemKind;
 import org.parsleyhead.core.ticket.Priority;
 import org.parsleyhead.core.ticket.RouteItem;
 
@@ -59,11 +62,13 @@
   }
 
   @Test
-  @DisplayName("of the demonstration are free of problems")
+  @DisplayName("of the demonstration have items of every kind and no problems")
   void ofTheDemonstration() {
     Declarations declarations = DeclarationFolder.read(Path.of("../etc/declarations-demo"));
     assertEquals(List.of(), declarations.problems());
-    assertEquals(18, declarations.items().size());
+    assertEquals(
+        Set.of(ItemKind.values()),
+        declarations.byKey().keySet().stream().map(ItemKey::kind).collect(Collectors.toSet()));
   }
 
   @Test
