--- /dev/null
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/RawConnection.java
@@ -0,0 +1,111 @@
+package org.parsleyhead.integration;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.integration.fleet.FleetException;
+
+/** A connection that is written to and read from byte by byte. Confined to one thread. */
+final class RawConnection {
+
+  private static final int READ_TIMEOUT_MILLISECONDS = 60_000;
+
+  private final Socket socket;
+  private final StringBuilder received = new StringBuilder();
+
+  private RawConnection(Socket socket) {
+    this.socket = socket;
+  }
+
+  /** Sends bytes and returns all that comes back until the other side closes or answers. */
+  static String send(String endpoint, String request) {
+    RawConnection connection = connect(endpoint);
+    connection.write(request);
+    connection.awaitText("\r\n\r\n");
+    connection.close();
+    return connection.received.toString();
+  }
+
+  /** Starts a request and goes away after the first bytes of its answer. */
+  static void sendAndLeave(String endpoint, String path, String key, String body) {
+    RawConnection connection = open(endpoint, path, key, body);
+    connection.awaitText("data: ");
+    connection.close();
+  }
+
+  /** Sends a request whose answer is read later. */
+  static RawConnection open(String endpoint, String path, String key, String body) {
+    RawConnection connection = connect(endpoint);
+    connection.write(
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer "
+            + key
+            + "\r\nContent-Type: application/json\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+    return connection;
+  }
+
+  /** Reads until a text has come. */
+  void awaitText(String text) {
+    while (received.indexOf(text) < 0) {
+      if (!read()) {
+        throw new FleetException("the connection ended before " + text + ": " + received);
+      }
+    }
+  }
+
+  /** Reads until the other side closes, and returns everything. */
+  String readToEnd() {
+    while (read()) {
+      continue;
+    }
+    return received.toString();
+  }
+
+  void close() {
+    try {
+      socket.close();
+    } catch (IOException exception) {
+      throw new FleetException("cannot close", exception);
+    }
+  }
+
+  private static RawConnection connect(String endpoint) {
+    Endpoint address = Endpoint.parse(endpoint);
+    try {
+      Socket socket = new Socket(address.address(), address.port());
+      socket.setSoTimeout(READ_TIMEOUT_MILLISECONDS);
+      return new RawConnection(socket);
+    } catch (IOException exception) {
+      throw new FleetException("cannot connect to " + endpoint, exception);
+    }
+  }
+
+  private void write(String text) {
+    try {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    } catch (IOException exception) {
+      throw new FleetException("cannot write", exception);
+    }
+  }
+
+  private boolean read() {
+    try {
+      InputStream input = socket.getInputStream();
+      byte[] buffer = new byte[4_096];
+      int count = input.read(buffer);
+      if (count > 0) {
+        received.append(new String(buffer, 0, count, StandardCharsets.UTF_8));
+      }
+      return count >= 0;
+    } catch (IOException exception) {
+      return false;
+    }
+  }
+}
