Times to the first token of streams only

Cause: whole answers counted their total time as time to the first token, which made one account of a mixed load look 18 times worse than the other. Change: whole answers have no time to the first token. Ruled out: a group for each way of answering; figures per account and class are asked for.

--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/check/AnswerProgress.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/check/AnswerProgress.java
@@ -33,10 +33,10 @@
     return document(data, model);
   }
 
-  /** Takes a whole answer; tells whether it brought text. */
-  public boolean whole(String body, String model) {
+  /** Takes a whole answer. */
+  public void whole(String body, String model) {
     done = true;
-    return document(body, model);
+    document(body, model);
   }
 
   private boolean document(String body, String model) {
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/client/RequestProgress.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/client/RequestProgress.java
@@ -106,8 +106,8 @@
   }
 
   private Outcome answerOutcome(long time) {
-    if (!streamed && answer.whole(body.toString(), request.model())) {
-      firstTime = time;
+    if (!streamed) {
+      answer.whole(body.toString(), request.model());
     }
     if (answer.error().isPresent()) {
       Refusal refusal = Refusal.read(answer.error().get());
--- a/parsleyhead-load/src/main/java/org/parsleyhead/load/result/Outcome.java
+++ b/parsleyhead-load/src/main/java/org/parsleyhead/load/result/Outcome.java
@@ -22,7 +22,7 @@
  * @param dueMilliseconds when it was due, in milliseconds since the epoch
  * @param dueNanoseconds when it was due, from the start of the run
  * @param lateNanoseconds how late it was sent
- * @param firstNanoseconds when the first token came; -1 if none came
+ * @param firstNanoseconds when the first token came; -1 if none came or the answer was not streamed
  * @param totalNanoseconds when it ended
  * @param promptTokens the length of the prompt, as reported or estimated
  * @param tokens how many tokens came
