Owners notice an old list; starts are counted when pins are released

Cause: the deeper run of the Alloy model (3 hosts, 3 lists, 12 steps) found two owners at a time: one on list 0 and one on list 1, both attested to by a host on list 2, where the two lists do not name the other owner. The fleet tests had not found it.

Ruled out: counting any attestation at a later version as one that includes this host (that is what the model refuted).

Change: an attestation at a list version later than the owner's own does not count; the model has the rule and its variant evicts_when_behind. Starts are also reported when a pin is released: adapters used once had an expected reuse of none, so that victims were chosen by name. Long waits raise the weight of a wanted adapter.

--- a/model/ownership.als
+++ b/model/ownership.als
@@ -32,7 +32,7 @@
 
 -- Variants with one rule left out.
 abstract sig Rule {}
-one sig AskAttestations, WaitToSettle, WaitForPins, ReadReport extends Rule {}
+one sig AskAttestations, WaitToSettle, WaitForPins, ReadReport, StopWhenBehind extends Rule {}
 one sig Variant { omitted: lone Rule }
 
 pred omits[rule: Rule] { rule in Variant.omitted }
@@ -46,8 +46,10 @@
   some host.list
   host = owner[host.list]
   omits[AskAttestations] or {
-    all giver: host.list.members - host |
-      some host.attested[giver] & (host.acquired + host.acquired.nexts)
+    -- An attestation at a later list shows that this host acts on an old one.
+    all giver: host.list.members - host | some version: host.attested[giver] |
+      version in host.acquired + host.acquired.nexts
+        and (version in host.list + host.list.prevs or omits[StopWhenBehind])
     all dropped: (host.seen - host.list.members) & hosts/prevs[host] | no dropped.attested[host]
   }
 }
@@ -91,12 +93,13 @@
 }
 
 -- The wait makes sure that nobody relies on attestations of this owner's members to an earlier
--- list, and that no order of another owner is on its way.
+-- list, or on those of a former run of this process, and that no order of another is on its way.
 pred settle[host: Host] {
   exclusive[host]
   host not in Settled
   omits[WaitToSettle] or {
     no other: Host - host, giver: host.list.members | some other.attested[giver] & host.acquired.prevs
+    host not in Starting
     no Ordered
   }
   pinned' = Former -> Granter.pinned
@@ -223,11 +226,12 @@
 }
 
 -- Commands: the promise, that the model is not empty, and each variant with its counterexample.
-serving_is_never_evicted: check never for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..10 steps
-serving_is_never_evicted_over_three_lists: check never for exactly 3 Host, exactly 3 Version, 8 Granter, exactly 4 Rule, 1..8 steps
-new_owner_evicts: run second_owner_evicts for exactly 2 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..10 steps
-evicts_without_attestations: run { evicted_without[AskAttestations] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..10 steps
-evicts_without_settling: run { evicted_without[WaitToSettle] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..12 steps
-evicts_without_pin_wait: run { evicted_without[WaitForPins] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..12 steps
-evicts_without_report: run { evicted_without[ReadReport] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 4 Rule, 1..8 steps
-serving_is_never_evicted_deeper: check never for exactly 3 Host, exactly 3 Version, 8 Granter, exactly 4 Rule, 1..12 steps
+serving_is_never_evicted: check never for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..10 steps
+serving_is_never_evicted_over_three_lists: check never for exactly 3 Host, exactly 3 Version, 8 Granter, exactly 5 Rule, 1..8 steps
+new_owner_evicts: run second_owner_evicts for exactly 2 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..10 steps
+evicts_without_attestations: run { evicted_without[AskAttestations] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..10 steps
+evicts_without_settling: run { evicted_without[WaitToSettle] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..12 steps
+evicts_without_pin_wait: run { evicted_without[WaitForPins] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..12 steps
+evicts_without_report: run { evicted_without[ReadReport] } for exactly 3 Host, exactly 2 Version, 8 Granter, exactly 5 Rule, 1..8 steps
+evicts_when_behind: run { evicted_without[StopWhenBehind] } for exactly 3 Host, exactly 3 Version, 8 Granter, exactly 5 Rule, 1..11 steps
+serving_is_never_evicted_deeper: check never for exactly 3 Host, exactly 3 Version, 8 Granter, exactly 5 Rule, 1..12 steps
--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
@@ -154,7 +154,7 @@
   private static void writePinRelease(PinRelease message, MessagePacker packer) throws IOException {
     packer.packString(message.engine().text()).packLong(message.throughNumber());
     writeAdapters(message.adapters(), packer);
-    packer.packBoolean(message.missing());
+    packer.packInt(message.starts()).packBoolean(message.missing());
   }
 
   private static PinRelease readPinRelease(MessageUnpacker unpacker) throws IOException {
@@ -162,6 +162,7 @@
         readEngine(unpacker),
         unpacker.unpackLong(),
         readAdapters(unpacker),
+        unpacker.unpackInt(),
         unpacker.unpackBoolean());
   }
 
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/EngineMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/EngineMessageTypesTests.java
@@ -53,7 +53,7 @@
         Stream.of(
             new PinRequest(ENGINE, 9, List.of(demand)),
             new PinGrant(ENGINE, REQUESTER, 9, List.of(ADAPTER), Duration.ofSeconds(30)),
-            new PinRelease(ENGINE, 9, List.of(ADAPTER), true),
+            new PinRelease(ENGINE, 9, List.of(ADAPTER), 2, true),
             new PinRecall(ENGINE, ADAPTER),
             new PermitRequest(9, 8, 3),
             new PermitGrant(REQUESTER, 9, Duration.ofSeconds(2)),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Acquisition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Acquisition.java
@@ -12,10 +12,10 @@
  * How long this host has had the exclusive right to something that the host list gives to one host.
  *
  * <p>The right is exclusive while all other members attest, at the list version of the acquisition
- * or a later one, that they do not use what belongs to this host, and while this host may claim
- * from each dropped host that preceded it. A gap that is shorter than the tolerance does not
- * matter, since no other host could have settled in it; any longer one, also one that was slept
- * through, starts the count anew.
+ * or a later one but not at one that this host does not know, that they do not use what belongs to
+ * this host, and while this host may claim from each dropped host that preceded it. A gap that is
+ * shorter than the tolerance does not matter, since no other host could have settled in it; any
+ * longer one, also one that was slept through, starts the count anew.
  *
  * <p>Immutable and thread-safe.
  *
@@ -60,13 +60,19 @@
     return standing.isAttestedByAll(time)
         && standing.members().stream()
             .filter(member -> !member.equals(standing.self()))
-            .allMatch(member -> standing.attestedVersion().getOrDefault(member, -1L) >= version)
+            .allMatch(member -> isAtFittingVersion(standing, member))
         && standing.claimableFrom().keySet().stream()
             .filter(dropped -> !standing.members().contains(dropped))
             .filter(dropped -> precedes(dropped, standing.self()))
             .allMatch(dropped -> standing.mayClaimFrom(dropped, time));
   }
 
+  /** An attestation at a later list version shows that this host acts on an old list. */
+  private boolean isAtFittingVersion(Standing standing, HostName member) {
+    long attested = standing.attestedVersion().getOrDefault(member, -1L);
+    return attested >= version && attested <= standing.version();
+  }
+
   private boolean precedes(HostName dropped, HostName self) {
     return Rendezvous.order(key, List.of(dropped, self)).get(0).equals(dropped);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
@@ -79,14 +79,17 @@
     return waiters.isEmpty() && !time.isBefore(notBefore.plus(memory));
   }
 
-  /** Returns how many requests wait, interactive ones counted several times. */
-  long weight() {
-    return waiters.values().stream()
-        .map(Waiter::demand)
-        .mapToLong(
-            demand ->
-                (long) Math.max(1, demand.waiting())
-                    * (demand.urgency() == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : 1))
-        .sum();
+  /** Returns how much the adapter is wanted: the waiting requests, more if they wait for long. */
+  int weight(MonotonicTime time) {
+    long requests =
+        waiters.values().stream()
+            .map(Waiter::demand)
+            .mapToLong(
+                demand ->
+                    (long) Math.max(1, demand.waiting())
+                        * (demand.urgency() == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : 1))
+            .sum();
+    long aged = requests * (1 + Math.max(0, time.since(since).toSeconds()));
+    return (int) Math.min(Integer.MAX_VALUE, aged);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
@@ -150,7 +150,7 @@
           entry.getValue().isDue(time)
               && !engine.residency().resident().contains(adapter)
               && !engine.residency().isQuarantined(adapter);
-      long weight = entry.getValue().weight();
+      long weight = entry.getValue().weight(time);
       boolean better =
           weight > bestWeight
               || (weight == bestWeight && best != null && adapter.compareTo(best) < 0);
@@ -208,7 +208,7 @@
       return Step.of(state);
     }
     long number = state.nextNumber();
-    int weight = (int) Math.min(Integer.MAX_VALUE, engine.demand(adapter, time).weight());
+    int weight = engine.demand(adapter, time).weight(time);
     OrderBook.Permit permit = new OrderBook.Permit(keeper.get(), number, time, false);
     return Step.of(
         state
@@ -308,7 +308,7 @@
     Optional<VictimChoice.Candidate> victim =
         victims
             .choose(idle)
-            .filter(found -> found.expectedReuse() < engine.demand(wanted, time).weight());
+            .filter(found -> found.expectedReuse() < engine.demand(wanted, time).weight(time));
     if (victim.isEmpty()) {
       return Step.of(state);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
@@ -78,9 +78,11 @@
     PinTable pins = engine.pins();
     PMap<AdapterReference, Demand> demands = engine.demands();
     Residency residency = engine.residency();
+    PMap<AdapterReference, DecayedRate> uses = engine.uses();
     for (AdapterReference adapter : release.adapters()) {
       pins = pins.release(adapter, sender, release.throughNumber(), time);
       demands = withdraw(demands, adapter, sender, release.throughNumber());
+      uses = counted(uses, adapter, release.starts(), time);
       residency = release.missing() ? residency.without(adapter, time) : residency;
     }
     OrderBook orders = release.missing() ? engine.orders().doubted(time) : engine.orders();
@@ -89,6 +91,7 @@
             engine
                 .withPins(pins)
                 .withDemands(demands)
+                .withUses(uses)
                 .withResidency(residency)
                 .withOrders(orders)));
   }
@@ -215,16 +218,23 @@
   }
 
   private OwnedEngine countUse(OwnedEngine engine, PinDemand demand, MonotonicTime time) {
-    int uses = demand.starts();
-    if (uses == 0) {
-      return engine;
+    return engine.withUses(counted(engine.uses(), demand.adapter(), demand.starts(), time));
+  }
+
+  private PMap<AdapterReference, DecayedRate> counted(
+      PMap<AdapterReference, DecayedRate> uses,
+      AdapterReference adapter,
+      int starts,
+      MonotonicTime time) {
+    if (starts == 0) {
+      return uses;
     }
-    DecayedRate known = engine.uses().get(demand.adapter());
-    DecayedRate next =
+    DecayedRate known = uses.get(adapter);
+    return uses.plus(
+        adapter,
         known == null
-            ? DecayedRate.first(uses, time)
-            : known.plus(uses, time, settings.reuseHalfLife());
-    return engine.withUses(engine.uses().plus(demand.adapter(), next));
+            ? DecayedRate.first(starts, time)
+            : known.plus(starts, time, settings.reuseHalfLife()));
   }
 
   private OwnedEngine grant(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinRelease.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinRelease.java
@@ -15,16 +15,22 @@
  * @param engine the engine
  * @param throughNumber the highest number of a pin request that it covers
  * @param adapters the adapters
+ * @param starts how many requests were started for each since its last pin request
  * @param missing whether the engine was found without the adapters
  */
 public record PinRelease(
-    UpstreamName engine, long throughNumber, List<AdapterReference> adapters, boolean missing)
+    UpstreamName engine,
+    long throughNumber,
+    List<AdapterReference> adapters,
+    int starts,
+    boolean missing)
     implements PeerMessage {
 
   /** Checks and copies the parts. */
   public PinRelease {
     Preconditions.requireNonNull(engine, "engine");
     Preconditions.requireNonNegative(throughNumber, "throughNumber");
+    Preconditions.requireNonNegative(starts, "starts");
     adapters = List.copyOf(adapters);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
@@ -87,7 +87,7 @@
         : Step.of(
             current,
             new SchedulingEffect.Send(
-                owner, new PinRelease(grant.engine(), grant.number(), unwanted, false)));
+                owner, new PinRelease(grant.engine(), grant.number(), unwanted, 0, false)));
   }
 
   /** Takes up a refusal; a pin that is still valid stays. */
@@ -141,7 +141,12 @@
             unpinned,
             new SchedulingEffect.Send(
                 owner.get(),
-                new PinRelease(engine, placement.asked().getAsLong(), List.of(adapter), missing)));
+                new PinRelease(
+                    engine,
+                    placement.asked().getAsLong(),
+                    List.of(adapter),
+                    placement.startsSinceAsked(),
+                    missing)));
   }
 
   /** Renews used pins, one message for each engine, and releases unused ones. */
--- a/parsleyhead-model/src/test/java/org/parsleyhead/model/OwnershipModelTests.java
+++ b/parsleyhead-model/src/test/java/org/parsleyhead/model/OwnershipModelTests.java
@@ -46,4 +46,11 @@
   void neverEvictsInLongerRuns() {
     assertFalse(runner.findsInstance("serving_is_never_evicted_deeper"));
   }
+
+  @Test
+  @Tag("long-running")
+  @DisplayName("evicts what serves if an owner does not notice that its list is old")
+  void evictsWhenBehind() {
+    assertTrue(runner.findsInstance("evicts_when_behind"));
+  }
 }
