Tests of single decisions of scheduling and ownership

Cause: the fleet tests show that promises hold, not which rule keeps them. Conclusion: all hold; none needed a change of the code.

--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/OwnershipTransitionTests.java
@@ -0,0 +1,189 @@
+package org.parsleyhead.core.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.ModelName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.ticket.Priority;
+import org.parsleyhead.core.ticket.UpstreamItem;
+
+@DisplayName("The ownership duty")
+class OwnershipTransitionTests {
+
+  private static final HostName SELF = new HostName("host");
+  private static final Sender OWNER = new Sender(SELF, new Incarnation(1));
+  private static final Sender PEER = new Sender(new HostName("peer"), new Incarnation(2));
+  private static final UpstreamName ENGINE = new UpstreamName("engine");
+  private static final AdapterReference ADAPTER = AdapterReference.parse("adapter@1");
+  private static final OwnershipSettings SETTINGS = OwnershipSettings.of(4, 8);
+
+  private final OwnershipTransition transition =
+      new OwnershipTransition(SETTINGS, VictimChoice.leastExpectedReuse());
+  private List<EngineEffect> effects = new ArrayList<>();
+  private MonotonicTime now = MonotonicTime.ORIGIN;
+  private OwnershipState state = OwnershipState.initial(standing(1), now);
+  private long nextNumber;
+
+  @BeforeEach
+  void own() {
+    apply(
+        new EngineEvent.UpstreamsChanged(
+            List.of(
+                new UpstreamItem(
+                    ENGINE,
+                    Endpoint.parse("10.0.0.1:80"),
+                    new FailureDomainName("domain"),
+                    Optional.of(new UpstreamItem.Engine(new ModelName("base"), 1, 4, false)),
+                    false,
+                    false))));
+    apply(new EngineEvent.StandingChanged(standing(1)));
+    now = now.plus(SETTINGS.settling().plus(SETTINGS.permitCounted()));
+    report(Set.of());
+  }
+
+  private static Standing standing(long version) {
+    return new Standing(
+        SELF,
+        OWNER.incarnation(),
+        version,
+        new TreeSet<>(Set.of(SELF)),
+        Map.of(),
+        Map.of(),
+        Map.of());
+  }
+
+  private void apply(EngineEvent event) {
+    var step = transition.apply(state, event, now);
+    state = step.state();
+    effects = step.effects();
+  }
+
+  private void report(Set<AdapterReference> resident) {
+    apply(new EngineEvent.Reported(new EngineReport(ENGINE, now, 0, 0, resident, Set.of())));
+  }
+
+  private void ask(Sender sender) {
+    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE);
+    PinRequest request = new PinRequest(ENGINE, nextNumber++, List.of(demand));
+    apply(new EngineEvent.MessageReceived(sender, request));
+  }
+
+  private <M> List<M> messages(Class<M> type) {
+    return effects.stream()
+        .filter(EngineEffect.Send.class::isInstance)
+        .map(effect -> ((EngineEffect.Send) effect).message())
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+
+  /** Hands the duty its own permit messages back, as the host would. */
+  private EngineEffect.LoadAdapter permitLoad() {
+    List<PeerMessage> own = new ArrayList<>(messages(PermitRequest.class));
+    own.forEach(message -> apply(new EngineEvent.MessageReceived(OWNER, message)));
+    own = new ArrayList<>(messages(PermitGrant.class));
+    own.forEach(message -> apply(new EngineEvent.MessageReceived(OWNER, message)));
+    return (EngineEffect.LoadAdapter) effects.get(0);
+  }
+
+  private void end(EngineEffect.LoadAdapter load, OrderOutcome outcome) {
+    apply(new EngineEvent.OrderEnded(ENGINE, load.orderNumber(), outcome));
+  }
+
+  @Test
+  @DisplayName("refuses pins on engines that it does not own")
+  void refusesForeignEngines() {
+    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE);
+    PinRequest request = new PinRequest(new UpstreamName("other"), 1, List.of(demand));
+    apply(new EngineEvent.MessageReceived(PEER, request));
+    assertEquals(PinRefusal.Reason.NOT_OWNER, messages(PinRefusal.class).get(0).reason());
+  }
+
+  @Test
+  @DisplayName("serves all hosts that wait for an adapter by one load")
+  void joinsLoads() {
+    ask(PEER);
+    List<EngineEffect> first = effects;
+    ask(OWNER);
+    assertTrue(messages(PermitRequest.class).isEmpty());
+    effects = first;
+    end(permitLoad(), OrderOutcome.DONE);
+    assertEquals(2, messages(PinGrant.class).size());
+    assertEquals(1, messages(PermitReturn.class).size());
+  }
+
+  @Test
+  @DisplayName("refuses the waiting hosts after a failed load and waits before the next one")
+  void backsOff() {
+    ask(PEER);
+    end(permitLoad(), OrderOutcome.FAILED);
+    assertEquals(PinRefusal.Reason.LOAD_FAILED, messages(PinRefusal.class).get(0).reason());
+    report(Set.of());
+    ask(PEER);
+    assertEquals(PinRefusal.Reason.LOAD_FAILED, messages(PinRefusal.class).get(0).reason());
+  }
+
+  @Test
+  @DisplayName("reads the engine after an order without an answer before it gives another")
+  void readsAfterUnknownOutcome() {
+    ask(PEER);
+    permitLoad();
+    now = now.plus(SETTINGS.orderTimeout());
+    apply(new EngineEvent.Tick(1));
+    assertTrue(effects.contains(new EngineEffect.ReadEngine(ENGINE)));
+    assertTrue(effects.stream().noneMatch(EngineEffect.LoadAdapter.class::isInstance));
+  }
+
+  @Test
+  @DisplayName("believes the engine and not its own memory after the engine restarted")
+  void believesEngine() {
+    ask(PEER);
+    end(permitLoad(), OrderOutcome.DONE);
+    assertEquals(Set.of(ADAPTER), state.residentAt(ENGINE));
+    now = now.plus(SETTINGS.readInterval());
+    report(Set.of());
+    assertEquals(Set.of(), state.residentAt(ENGINE));
+  }
+
+  @Test
+  @DisplayName("gives orders of a later list a greater fencing number")
+  void fencingNumbersGrow() {
+    Standing earlier = standing(7);
+    Standing later = standing(8);
+    assertTrue(FencingNumber.of(later, 0) > FencingNumber.of(earlier, Long.MAX_VALUE));
+    assertTrue(FencingNumber.of(earlier, 1) > FencingNumber.of(earlier, 0));
+  }
+
+  @Test
+  @DisplayName("keeps no more permits out than the allowance has")
+  void limitsPermits() {
+    int granted = 0;
+    for (int count = 0; count < 20; count++) {
+      now = now.plus(java.time.Duration.ofMillis(250));
+      apply(new EngineEvent.MessageReceived(PEER, new PermitRequest(100 + count, 100 + count, 1)));
+      granted += messages(PermitGrant.class).size();
+    }
+    assertEquals(SETTINGS.maximumTransfers(), granted);
+    apply(new EngineEvent.MessageReceived(PEER, new PermitReturn(100, true)));
+    assertEquals(1, messages(PermitGrant.class).size());
+  }
+}
