--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/ControlPlaneMeasurementTests.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/ControlPlaneMeasurementTests.java
@@ -1,18 +1,24 @@
 package org.parsleyhead.entry.configuration;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.management.OperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleyhead.core.api.AdapterName;
 import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.ModelName;
 import org.parsleyhead.core.api.TicketNumber;
+import org.parsleyhead.core.ticket.AdapterItem;
 import org.parsleyhead.core.ticket.Change;
 import org.parsleyhead.core.ticket.ClientAccountItem;
 import org.parsleyhead.core.ticket.Ticket;
@@ -95,4 +101,46 @@
       System.out.printf("hosts=%d slowest_ticket_milliseconds=%d%n", size, slowest);
     }
   }
+
+  private static Ticket adapters(long number, int first, int count) {
+    List<Change> changes = new ArrayList<>();
+    for (int index = first; index < first + count; index++) {
+      changes.add(
+          Change.put(
+              new AdapterItem(
+                  new AdapterName("bottling-floor-assistant-" + index),
+                  new ModelName("base-model-large"),
+                  Set.of(1),
+                  "/weights/adapters/bottling-floor-assistant-" + index,
+                  Set.of(new ClientAccountName("account-" + index % 5)))));
+    }
+    return new Ticket(new TicketNumber(number), changes);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3_000, 86_000})
+  @DisplayName("that brings a starting host everything from another one is printed")
+  void bringsEverything(int size) throws Exception {
+    try (FakePlatform platform = new FakePlatform();
+        FakePlatform withoutTickets = new FakePlatform();
+        FakeFleet fleet = new FakeFleet(2, Duration.ofSeconds(10))) {
+      for (int first = 0; first < size; first += 1_000) {
+        platform.publish(adapters(first / 1_000 + 1, first, 1_000));
+      }
+      platform.publish(fleet.hostList());
+      withoutTickets.publish(fleet.hostList());
+      FakeFleet.Host full = fleet.start(0, platform.uri());
+      assertTrue(full.ready().await(120, TimeUnit.SECONDS));
+      final long start = System.nanoTime();
+      final long bytes = full.plane().transport().figures().bytesOut();
+      FakeFleet.Host fresh = fleet.start(1, withoutTickets.uri());
+      assertTrue(fresh.ready().await(120, TimeUnit.SECONDS));
+      assertEquals(size, fresh.plane().configuration().catalogue().adapters().count());
+      System.out.printf(
+          "adapters=%d ready_milliseconds=%d bytes=%d%n",
+          size,
+          (System.nanoTime() - start) / 1_000_000,
+          full.plane().transport().figures().bytesOut() - bytes);
+    }
+  }
 }
