Reach a returned host without delay; blame no host that was just heard

Cause: over sockets a restarted host was suspected two or three times: answers to it were dropped while connecting to it was delayed, and a probe that had been lost before its start was still held against it. Change: a first message on an incoming connection ends the delay of the outgoing one; any message of a probed host closes the probe. The HTTP client closes without a quiet period.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/FailureDetector.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/FailureDetector.java
@@ -214,12 +214,14 @@
   }
 
   private static LivenessState heardFrom(LivenessState state, HostName from, Work work) {
-    LivenessUpdate known = state.opinionOn(from);
+    boolean probed = state.probe().filter(probe -> probe.target().equals(from)).isPresent();
+    LivenessState current = probed ? state.withProbe(Optional.empty()) : state;
+    LivenessUpdate known = current.opinionOn(from);
     if (known.liveness() == Liveness.ALIVE) {
-      return state;
+      return current;
     }
     work.effects.add(new MembershipEffect.LivenessChanged(from, Liveness.ALIVE));
-    return state.withOpinion(new LivenessUpdate(from, known.number(), Liveness.ALIVE), work.time);
+    return current.withOpinion(new LivenessUpdate(from, known.number(), Liveness.ALIVE), work.time);
   }
 
   private static LivenessState answered(LivenessState state, long nonce, Work work) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FailureDetectorTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/FailureDetectorTests.java
@@ -69,4 +69,19 @@
     state = detector.tick(state, others, 2, late).state();
     assertEquals(Liveness.ALIVE, state.opinionOn(VICTIM).liveness());
   }
+
+  @Test
+  @DisplayName("does not blame a host for a probe that was lost before the host was heard")
+  void forgetsOldProbe() {
+    MembershipSettings settings =
+        MembershipSettings.of(FakeMembershipFleet.name(0), new Incarnation(1));
+    FailureDetector detector = new FailureDetector(settings);
+    List<HostName> others = List.of(VICTIM);
+    MonotonicTime time = MonotonicTime.ORIGIN;
+    LivenessState state = detector.tick(LivenessState.initial(time), others, 1, time).state();
+    state = detector.receive(state, 2, VICTIM, new AttestationRequest(1, 1), time).state();
+    time = time.plus(settings.probeTimeout().multipliedBy(2));
+    state = detector.tick(state, others, 2, time).state();
+    assertEquals(Liveness.ALIVE, state.opinionOn(VICTIM).liveness());
+  }
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ServiceClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/configuration/ServiceClient.java
@@ -20,6 +20,7 @@
   static final int MAXIMUM_ANSWER_BYTES = 2 << 20;
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
 
   private final URI service;
@@ -44,6 +45,8 @@
             .setIoThreadsCount(1)
             .setConnectTimeout(CONNECT_TIMEOUT)
             .setMaxRequestRetry(0)
+            .setShutdownQuietPeriod(Duration.ZERO)
+            .setShutdownTimeout(SHUTDOWN_TIMEOUT)
             .setFollowRedirect(false)
             .build();
     return new ServiceClient(service, answerTimeout, Dsl.asyncHttpClient(configuration));
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/IncomingHandler.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/IncomingHandler.java
@@ -30,18 +30,22 @@
   private final Supplier<HostList> hostList;
   private final boolean verifyAddress;
   private final Consumer<Envelope> receiver;
+  private final Consumer<LinkEvent> events;
   private final TransportCounters counters;
+  private boolean heard;
 
   IncomingHandler(
       PeerMessageCodec codec,
       Supplier<HostList> hostList,
       boolean verifyAddress,
       Consumer<Envelope> receiver,
+      Consumer<LinkEvent> events,
       TransportCounters counters) {
     this.codec = codec;
     this.hostList = hostList;
     this.verifyAddress = verifyAddress;
     this.receiver = receiver;
+    this.events = events;
     this.counters = counters;
   }
 
@@ -60,6 +64,10 @@
       context.close();
       return;
     }
+    if (!heard) {
+      heard = true;
+      events.accept(new LinkEvent.HostHeard(envelope.sender().host()));
+    }
     counters.messagesIn.increment();
     receiver.accept(envelope);
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/LinkEvent.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/LinkEvent.java
@@ -47,4 +47,11 @@
    * @param link the number of the connection
    */
   record PongReceived(HostName host, long link) implements LinkEvent {}
+
+  /**
+   * Another host opened a connection and sent a message, so it can be reached again.
+   *
+   * @param host the other host
+   */
+  record HostHeard(HostName host) implements LinkEvent {}
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/Links.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/Links.java
@@ -52,6 +52,13 @@
       boolean current = link != null && link.link() == closed.link();
       return current ? failed(state, closed.host(), link, time, effects) : state;
     }
+    if (event instanceof LinkEvent.HostHeard heard) {
+      LinkState link = state.links().get(heard.host());
+      boolean waits = link != null && link.status() == Status.IDLE;
+      return waits
+          ? state.with(heard.host(), LinkState.idle(link.endpoint(), 0, time, time))
+          : state;
+    }
     LinkEvent.PongReceived pong = (LinkEvent.PongReceived) event;
     LinkState link = state.links().get(pong.host());
     boolean current = link != null && link.link() == pong.link();
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransport.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransport.java
@@ -151,7 +151,12 @@
                                 settings.idleLimit().toMillis(), TimeUnit.MILLISECONDS),
                             Frames.decoder(),
                             new IncomingHandler(
-                                codec, hostList, settings.verifyAddress(), receiver, counters));
+                                codec,
+                                hostList,
+                                settings.verifyAddress(),
+                                receiver,
+                                ring::offer,
+                                counters));
                   }
                 });
     try {
--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/peer/LinksTests.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/peer/LinksTests.java
@@ -62,6 +62,15 @@
     assertEquals(List.of(new LinkEffect.Connect(OTHER, 2, ENDPOINT)), apply(SEND));
   }
 
+  @Test
+  @DisplayName("are opened without further delay when the other host is heard again")
+  void connectsWhenHeard() {
+    apply(SEND);
+    apply(new LinkEvent.Closed(OTHER, 1));
+    apply(new LinkEvent.HostHeard(OTHER));
+    assertEquals(List.of(new LinkEffect.Connect(OTHER, 2, ENDPOINT)), apply(SEND));
+  }
+
   @Test
   @DisplayName("are replaced when a ping stays unanswered")
   void replacesSilent() {
