--- /dev/null
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
@@ -0,0 +1,208 @@
+package org.parsleyhead.entry.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Transition;
+import org.parsleyhead.core.engine.EngineEffect;
+import org.parsleyhead.core.engine.EngineEvent;
+import org.parsleyhead.core.engine.OwnershipState;
+import org.parsleyhead.core.engine.OwnershipTransition;
+import org.parsleyhead.core.engine.VictimChoice;
+import org.parsleyhead.core.idempotency.RepeatEffect;
+import org.parsleyhead.core.idempotency.RepeatEvent;
+import org.parsleyhead.core.idempotency.RepeatState;
+import org.parsleyhead.core.idempotency.RepeatTransition;
+import org.parsleyhead.core.membership.MembershipSettings;
+import org.parsleyhead.core.membership.MembershipState;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.quota.LendingPolicy;
+import org.parsleyhead.core.quota.QuotaEffect;
+import org.parsleyhead.core.quota.QuotaEvent;
+import org.parsleyhead.core.quota.QuotaSettings;
+import org.parsleyhead.core.quota.QuotaState;
+import org.parsleyhead.core.quota.QuotaTransition;
+import org.parsleyhead.core.request.RequestEffect;
+import org.parsleyhead.core.request.RequestEvent;
+import org.parsleyhead.core.request.RequestState;
+import org.parsleyhead.core.request.RequestTransition;
+import org.parsleyhead.core.scheduling.SchedulingEffect;
+import org.parsleyhead.core.scheduling.SchedulingEvent;
+import org.parsleyhead.core.scheduling.SchedulingPolicy;
+import org.parsleyhead.core.scheduling.SchedulingSettings;
+import org.parsleyhead.core.scheduling.SchedulingState;
+import org.parsleyhead.core.scheduling.SchedulingTransition;
+import org.parsleyhead.core.ticket.Catalogue;
+import org.parsleyhead.runtime.duty.Duty;
+import org.parsleyhead.runtime.duty.MonotonicClock;
+import org.parsleyhead.runtime.duty.Ring;
+import org.parsleyhead.runtime.log.EventLog;
+
+/**
+ * The duties of an entry host, one thread each.
+ *
+ * <p>Thread-safe after construction.
+ */
+final class EntryDuties implements AutoCloseable {
+
+  private static final Duration REQUEST_TICK = Duration.ofMillis(100);
+  private static final Duration DECISION_TICK = Duration.ofMillis(50);
+
+  private final EntrySettings settings;
+  private final MonotonicClock clock;
+  private final LongSupplier random;
+  private final EventLog log;
+  private final RightsBarrier barrier;
+  private final Duty<RequestState, RequestEvent, RequestEffect> requests;
+  private final Duty<RepeatState, RepeatEvent, RepeatEffect> repeats;
+  private final Duty<QuotaState, QuotaEvent, QuotaEffect> quota;
+  private final Duty<SchedulingState, SchedulingEvent, SchedulingEffect> scheduling;
+  private final Duty<OwnershipState, EngineEvent, EngineEffect> ownership;
+
+  EntryDuties(
+      EntrySettings settings,
+      MembershipSettings membership,
+      DutySockets sockets,
+      MonotonicClock clock,
+      LongSupplier random,
+      EventLog log) {
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.log = log;
+    MonotonicTime now = clock.now();
+    Standing standing = MembershipState.initial(membership, now).standing();
+    Rings rings = sockets.rings();
+    this.barrier =
+        new RightsBarrier(
+            List.of(this::repeatVersion, this::schedulingVersion, this::ownershipVersion));
+    this.requests =
+        duty(
+            rings.request(),
+            RequestState.initial(settings.requests()),
+            new RequestTransition(),
+            sockets.requests(),
+            RequestEvent.Tick::new,
+            REQUEST_TICK);
+    this.repeats =
+        duty(
+            rings.repeat(),
+            RepeatState.initial(settings.repeats(), standing, now),
+            new RepeatTransition(),
+            effect -> RequestWiring.onRepeatEffect(rings, sockets.peers(), effect),
+            RepeatEvent.Tick::new,
+            DECISION_TICK);
+    this.quota =
+        duty(
+            rings.quota(),
+            QuotaState.initial(now),
+            new QuotaTransition(
+                QuotaSettings.of(membership),
+                settings.lending() ? LendingPolicy.byDemand() : LendingPolicy.none()),
+            effect -> RequestWiring.onQuotaEffect(rings, sockets.peers(), barrier, effect),
+            QuotaEvent.Tick::new,
+            DECISION_TICK);
+    this.scheduling = schedulingDuty(sockets, standing, now);
+    this.ownership = ownershipDuty(sockets, standing, membership, now);
+  }
+
+  void start() {
+    quota.start();
+    repeats.start();
+    scheduling.start();
+    ownership.start();
+    requests.start();
+  }
+
+  @Override
+  public void close() {
+    requests.close();
+    ownership.close();
+    scheduling.close();
+    repeats.close();
+    quota.close();
+  }
+
+  /** Returns the barrier of the users of exclusive rights. */
+  RightsBarrier barrier() {
+    return barrier;
+  }
+
+  /** Returns the catalogue with which requests are decided. */
+  Catalogue catalogue() {
+    return requests.state().catalogue();
+  }
+
+  int activeRequests() {
+    return requests.state().activeCount();
+  }
+
+  /** Tells whether this host has a share of the limits of client accounts. */
+  boolean hasShare(MonotonicTime now) {
+    return quota.state().hasShare(now);
+  }
+
+  private long repeatVersion() {
+    return repeats.state().listVersion();
+  }
+
+  private long schedulingVersion() {
+    return scheduling.state().standing().version();
+  }
+
+  private long ownershipVersion() {
+    return ownership.state().standing().version();
+  }
+
+  private Duty<SchedulingState, SchedulingEvent, SchedulingEffect> schedulingDuty(
+      DutySockets sockets, Standing standing, MonotonicTime now) {
+    SchedulingSettings scheduler = SchedulingSettings.defaults();
+    return duty(
+        sockets.rings().scheduling(),
+        SchedulingState.initial(standing, now),
+        new SchedulingTransition(scheduler, SchedulingPolicy.named(settings.policy(), scheduler)),
+        new SchedulingEffects(sockets.rings(), sockets.peers(), this::catalogue),
+        () -> new SchedulingEvent.Tick(random.getAsLong()),
+        DECISION_TICK);
+  }
+
+  private Duty<OwnershipState, EngineEvent, EngineEffect> ownershipDuty(
+      DutySockets sockets,
+      Standing standing,
+      MembershipSettings membershipSettings,
+      MonotonicTime now) {
+    VictimChoice victims =
+        settings.policy().equals(SchedulingPolicy.ADAPTIVE)
+            ? VictimChoice.leastExpectedReuse()
+            : VictimChoice.leastRecentlyUsed();
+    return duty(
+        sockets.rings().ownership(),
+        OwnershipState.initial(standing, now),
+        new OwnershipTransition(
+            EngineOrders.settings(settings.weightStore(), membershipSettings), victims),
+        effect -> EngineOrders.carryOut(sockets, effect),
+        () -> new EngineEvent.Tick(random.getAsLong()),
+        DECISION_TICK);
+  }
+
+  private <S, E, F> Duty<S, E, F> duty(
+      Ring<E> ring,
+      S initial,
+      Transition<S, E, F> transition,
+      Consumer<F> effects,
+      Supplier<E> ticks,
+      Duration interval) {
+    return new Duty<>(
+        ring,
+        initial,
+        transition,
+        effects,
+        ticks,
+        interval,
+        clock,
+        failure -> log.failure("duty_failed", failure, "duty", ring.name()));
+  }
+}
