--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/audit/AuditEvent.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/audit/AuditEvent.java
@@ -11,16 +11,13 @@
  * <p>Immutable and thread-safe.
  *
  * @param ticket the number of the ticket
- * @param heardFrom the configuration service or the name of the host that passed the ticket on
+ * @param heardFrom {@code service} or the name of the host that passed the ticket on
  * @param inForceSince the wall clock of this host when the changes came into force
  * @param changes the changes
  */
 public record AuditEvent(
     TicketNumber ticket, String heardFrom, Instant inForceSince, List<AuditChange> changes) {
 
-  /** Stands for the configuration service in {@link #heardFrom}. */
-  public static final String CONFIGURATION_SERVICE = "configuration_service";
-
   /** Checks and copies the parts. */
   public AuditEvent {
     Preconditions.requireNonNull(ticket, "ticket");
--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/metrics/MetricNames.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/metrics/MetricNames.java
@@ -19,9 +19,6 @@
   /** Events that a full ring refused. */
   public static final MetricName RING_REFUSALS = MetricName.of(PREFIX + "ring_refusals_total");
 
-  /** Events whose transition or effects failed. */
-  public static final MetricName DUTY_FAILURES = MetricName.of(PREFIX + "duty_failures_total");
-
   /** Processor time that the process has used. */
   public static final MetricName PROCESS_CPU_SECONDS =
       MetricName.of(PREFIX + "process_cpu_seconds_total");
