--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -170,13 +170,7 @@
   @Override
   public ExitStatus stop() {
     log.info("stopping", "active_requests", duties.activeRequests());
-    exchanges.stop();
-    MonotonicTime limit = clock.now().plus(settings.stopTimeout());
-    MonotonicTime noticed = clock.now().plus(NOT_READY_NOTICE);
-    while (clock.now().isBefore(noticed) || exchanges.size() > 0 && clock.now().isBefore(limit)) {
-      LockSupport.parkNanos(DRAIN_CHECK_INTERVAL.toNanos());
-    }
-    boolean drained = exchanges.size() == 0;
+    final boolean drained = drain();
     callers.close();
     control.requestStop();
     awaitReleased();
@@ -192,6 +186,17 @@
     return drained ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
   }
 
+  /** Turns this host not ready and waits until no request is active, or for the limit. */
+  private boolean drain() {
+    exchanges.stop();
+    MonotonicTime limit = clock.now().plus(settings.stopTimeout());
+    MonotonicTime noticed = clock.now().plus(NOT_READY_NOTICE);
+    while (clock.now().isBefore(noticed) || exchanges.size() > 0 && clock.now().isBefore(limit)) {
+      LockSupport.parkNanos(DRAIN_CHECK_INTERVAL.toNanos());
+    }
+    return exchanges.size() == 0;
+  }
+
   private Catalogue catalogue() {
     return duties.catalogue();
   }
