Fair shares between client accounts in adapter loads

Cause: with one account at five times its rate the loads allowance is used up, and the other accounts lost as many requests as that one. Fair shares in tokens do not help, since the engines had room.

Change: LoadShares places each wanted load; a pin request says by how many loads its account is ahead, and owners and the keeper load for the others first. Virtual time is the earliest load that is still wanted.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
@@ -97,7 +97,7 @@
     for (PinDemand demand : message.demands()) {
       packer.packString(demand.adapter().text());
       packer.packInt(demand.waiting()).packInt(demand.starts());
-      packer.packInt(PRIORITIES.indexOf(demand.urgency()));
+      packer.packInt(PRIORITIES.indexOf(demand.urgency())).packInt(demand.loadsAhead());
     }
   }
 
@@ -112,7 +112,8 @@
               readAdapter(unpacker),
               unpacker.unpackInt(),
               unpacker.unpackInt(),
-              constant(PRIORITIES, unpacker.unpackInt())));
+              constant(PRIORITIES, unpacker.unpackInt()),
+              unpacker.unpackInt()));
     }
     return new PinRequest(engine, number, demands);
   }
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/EngineMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/EngineMessageTypesTests.java
@@ -42,7 +42,7 @@
   private static final Incarnation REQUESTER = new Incarnation(Long.MAX_VALUE);
 
   static Stream<PeerMessage> messages() {
-    PinDemand demand = new PinDemand(ADAPTER, 4, 2, Priority.BATCH);
+    PinDemand demand = new PinDemand(ADAPTER, 4, 2, Priority.BATCH, 3);
     Stream<PeerMessage> refusals =
         Arrays.stream(PinRefusal.Reason.values())
             .map(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
@@ -20,8 +20,9 @@
 record Demand(
     PMap<Sender, Waiter> waiters, MonotonicTime since, int failures, MonotonicTime notBefore) {
 
-  /** The weight of one waiting interactive request against one of a batch. */
-  private static final int INTERACTIVE_WEIGHT = 8;
+  private static final int INTERACTIVE_WEIGHT = 80;
+  private static final int BATCH_WEIGHT = 10;
+  private static final Duration DOUBLING_WAIT = Duration.ofSeconds(5);
 
   /**
    * A host that waits.
@@ -79,17 +80,25 @@
     return waiters.isEmpty() && !time.isBefore(notBefore.plus(memory));
   }
 
-  /** Returns how much the adapter is wanted: the waiting requests, more if they wait for long. */
+  /** Returns how many requests wait. */
+  int requests() {
+    return waiters.values().stream().mapToInt(waiter -> waiter.demand().waiting()).sum();
+  }
+
+  /**
+   * Returns how much the adapter is wanted: the waiting requests, more if they wait for long, less
+   * if their client account is ahead of its share.
+   */
   int weight(MonotonicTime time) {
-    long requests =
-        waiters.values().stream()
-            .map(Waiter::demand)
-            .mapToLong(
-                demand ->
-                    (long) Math.max(1, demand.waiting())
-                        * (demand.urgency() == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : 1))
-            .sum();
-    long aged = requests * (1 + Math.max(0, time.since(since).toSeconds()));
-    return (int) Math.min(Integer.MAX_VALUE, aged);
+    double requests =
+        waiters.values().stream().map(Waiter::demand).mapToDouble(Demand::weight).sum();
+    double waited = time.since(since).toMillis() / (double) DOUBLING_WAIT.toMillis();
+    double aged = requests * (1 + Math.max(0, waited));
+    return (int) Math.ceil(Math.min(Integer.MAX_VALUE, aged));
+  }
+
+  private static double weight(PinDemand demand) {
+    int each = demand.urgency() == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : BATCH_WEIGHT;
+    return (double) each * Math.max(1, demand.waiting()) / (1 + demand.loadsAhead());
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
@@ -308,7 +308,7 @@
     Optional<VictimChoice.Candidate> victim =
         victims
             .choose(idle)
-            .filter(found -> found.expectedReuse() < engine.demand(wanted, time).weight(time));
+            .filter(found -> found.expectedReuse() < engine.demand(wanted, time).requests());
     if (victim.isEmpty()) {
       return Step.of(state);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDemand.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDemand.java
@@ -12,9 +12,11 @@
  * @param adapter the adapter
  * @param waiting how many of its requests wait for the adapter
  * @param starts how many requests it started since it last asked
- * @param urgency the highest class among them
+ * @param urgency the class of the first of them
+ * @param loadsAhead by how many loads the client account of the first is ahead of its share
  */
-public record PinDemand(AdapterReference adapter, int waiting, int starts, Priority urgency) {
+public record PinDemand(
+    AdapterReference adapter, int waiting, int starts, Priority urgency, int loadsAhead) {
 
   /** Checks and copies the parts. */
   public PinDemand {
@@ -22,5 +24,6 @@
     Preconditions.requireNonNegative(waiting, "waiting");
     Preconditions.requireNonNegative(starts, "starts");
     Preconditions.requireNonNull(urgency, "urgency");
+    Preconditions.requireNonNegative(loadsAhead, "loadsAhead");
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/AdapterView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/AdapterView.java
@@ -15,34 +15,45 @@
  * @param queue the waiting requests in the order of service
  * @param placements the engines with a pin, a pin request or running requests
  * @param waitingSince since when the queue has not been empty
+ * @param loadClaim the place of the load that its requests wait for, if any
  */
 record AdapterView(
     TreePMap<QueueKey, WaitingRequest> queue,
     PMap<UpstreamName, Placement> placements,
-    MonotonicTime waitingSince) {
+    MonotonicTime waitingSince,
+    Optional<LoadShares.Claim> loadClaim) {
 
   /** How many requests are looked at for one that does not exclude the engine. */
   private static final int LOOK_AHEAD = 8;
 
   static AdapterView empty(MonotonicTime time) {
-    return new AdapterView(TreePMap.empty(), HashTreePMap.empty(), time);
+    return new AdapterView(TreePMap.empty(), HashTreePMap.empty(), time, Optional.empty());
   }
 
   AdapterView enqueue(WaitingRequest waiting) {
     MonotonicTime since = queue.isEmpty() ? waiting.arrived() : waitingSince;
-    return new AdapterView(queue.plus(waiting.key(), waiting), placements, since);
+    return new AdapterView(queue.plus(waiting.key(), waiting), placements, since, loadClaim);
   }
 
   AdapterView dequeue(QueueKey key) {
-    return new AdapterView(queue.minus(key), placements, waitingSince);
+    return new AdapterView(queue.minus(key), placements, waitingSince, loadClaim);
   }
 
   AdapterView with(UpstreamName engine, Placement placement) {
-    return new AdapterView(queue, placements.plus(engine, placement), waitingSince);
+    return new AdapterView(queue, placements.plus(engine, placement), waitingSince, loadClaim);
+  }
+
+  AdapterView withLoadClaim(Optional<LoadShares.Claim> next) {
+    return new AdapterView(queue, placements, waitingSince, next);
+  }
+
+  /** Tells whether an engine may run its requests without a load. */
+  boolean isPinnedAnywhere(MonotonicTime time) {
+    return placements.values().stream().anyMatch(placement -> placement.isPinned(time));
   }
 
   AdapterView without(UpstreamName engine) {
-    return new AdapterView(queue, placements.minus(engine), waitingSince);
+    return new AdapterView(queue, placements.minus(engine), waitingSince, loadClaim);
   }
 
   Placement placement(UpstreamName engine, MonotonicTime time) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/PinClient.java
@@ -76,11 +76,8 @@
       }
       MonotonicTime until =
           placement.askedAt().plus(grant.duration()).minus(settings.clockMargin());
-      current =
-          ReadySets.refresh(
-              current.with(adapter, view.with(grant.engine(), placement.granted(until, time))),
-              adapter,
-              time);
+      AdapterView pinned = view.with(grant.engine(), placement.granted(until, time));
+      current = ReadySets.refresh(serveClaim(current, adapter, pinned), adapter, time);
     }
     return unwanted.isEmpty()
         ? Step.of(current)
@@ -90,6 +87,12 @@
                 owner, new PinRelease(grant.engine(), grant.number(), unwanted, 0, false)));
   }
 
+  private static SchedulingState serveClaim(
+      SchedulingState state, AdapterReference adapter, AdapterView view) {
+    LoadShares served = view.loadClaim().map(state.loadShares()::serve).orElse(state.loadShares());
+    return state.withLoadShares(served).with(adapter, view.withLoadClaim(Optional.empty()));
+  }
+
   /** Takes up a refusal; a pin that is still valid stays. */
   SchedulingState refused(SchedulingState state, PinRefusal refusal, MonotonicTime time) {
     AdapterView view = state.adapter(refusal.adapter(), time);
@@ -241,14 +244,15 @@
     for (AdapterReference adapter : adapters) {
       AdapterView view = current.adapter(adapter, time);
       Placement placement = view.placement(engine, time);
-      demands.add(demand(adapter, view, placement));
+      demands.add(demand(current, adapter, view, placement));
       current = current.with(adapter, view.with(engine, placement.askedFor(number, time)));
     }
     return Step.of(
         current, new SchedulingEffect.Send(owner.get(), new PinRequest(engine, number, demands)));
   }
 
-  private static PinDemand demand(AdapterReference adapter, AdapterView view, Placement placement) {
+  private static PinDemand demand(
+      SchedulingState state, AdapterReference adapter, AdapterView view, Placement placement) {
     boolean interactive =
         !view.queue().isEmpty()
             && view.queue().firstEntry().getValue().request().priority() == Priority.INTERACTIVE;
@@ -256,7 +260,8 @@
         adapter,
         view.queue().size(),
         placement.startsSinceAsked(),
-        interactive ? Priority.INTERACTIVE : Priority.BATCH);
+        interactive ? Priority.INTERACTIVE : Priority.BATCH,
+        view.loadClaim().map(state.loadShares()::ahead).orElse(0));
   }
 
   private static Optional<HostName> owner(SchedulingState state, UpstreamName engine) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/RequestQueues.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/RequestQueues.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import org.parsleyhead.core.api.AdapterReference;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 
@@ -59,7 +61,8 @@
                 .withShares(state.shares().abandon(request)),
             request.adapter(),
             time);
-    return removed.with(request.adapter(), removed.adapter(request.adapter(), time));
+    SchedulingState settled = abandonLoad(removed, request.adapter(), time);
+    return settled.with(request.adapter(), settled.adapter(request.adapter(), time));
   }
 
   /** Refuses the requests whose deadline has passed. */
@@ -97,7 +100,31 @@
             .withDeadlines(state.deadlines().plus(DeadlineKey.of(waiting)))
             .withShares(state.shares().enqueue(request))
             .withNextSequence(sequence + 1);
-    return ReadySets.refresh(queued, request.adapter(), time);
+    return ReadySets.refresh(claimLoad(queued, request, time), request.adapter(), time);
+  }
+
+  /** Gives the load that a request needs its place among those of all client accounts. */
+  private static SchedulingState claimLoad(
+      SchedulingState state, ModelRequest request, MonotonicTime time) {
+    AdapterView view = state.adapter(request.adapter(), time);
+    if (view.loadClaim().isPresent() || view.isPinnedAnywhere(time)) {
+      return state;
+    }
+    LoadShares.Claim claim = state.loadShares().claimFor(request.clientAccount());
+    return state
+        .withLoadShares(state.loadShares().make(claim))
+        .with(request.adapter(), view.withLoadClaim(Optional.of(claim)));
+  }
+
+  private static SchedulingState abandonLoad(
+      SchedulingState state, AdapterReference adapter, MonotonicTime time) {
+    AdapterView view = state.adapter(adapter, time);
+    if (view.loadClaim().isEmpty() || !view.queue().isEmpty()) {
+      return state;
+    }
+    return state
+        .withLoadShares(state.loadShares().abandon(view.loadClaim().get()))
+        .withAdapters(state.adapters().plus(adapter, view.withLoadClaim(Optional.empty())));
   }
 
   /** The virtual time that passes before a request begins, in real time at the present service. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/SchedulingState.java
@@ -23,6 +23,7 @@
  * @param running the requests that were dispatched
  * @param deadlines the requests that wait, by deadline
  * @param shares the shares of the client accounts
+ * @param loadShares the shares of the client accounts in the loads
  * @param throughput the service that this host gets under load
  * @param prefixes where prompts with equal beginnings went
  * @param readyEntries the size of all ready sets together
@@ -37,6 +38,7 @@
     PMap<RequestIdentifier, RunningRequest> running,
     TreePSet<DeadlineKey> deadlines,
     FairShares shares,
+    LoadShares loadShares,
     Throughput throughput,
     PrefixMemory prefixes,
     int readyEntries,
@@ -53,6 +55,7 @@
         HashTreePMap.empty(),
         TreePSet.empty(),
         FairShares.empty(),
+        LoadShares.empty(),
         Throughput.unknown(time),
         PrefixMemory.empty(),
         0,
@@ -112,6 +115,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -128,6 +132,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -144,6 +149,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -160,6 +166,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -176,6 +183,7 @@
         next,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -192,6 +200,7 @@
         running,
         next,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -208,6 +217,7 @@
         running,
         deadlines,
         next,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -224,6 +234,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         next,
         prefixes,
         readyEntries,
@@ -240,6 +251,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         next,
         readyEntries,
@@ -256,6 +268,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         next,
@@ -272,6 +285,7 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
@@ -288,10 +302,28 @@
         running,
         deadlines,
         shares,
+        loadShares,
         throughput,
         prefixes,
         readyEntries,
         nextNumber,
         next);
   }
+
+  SchedulingState withLoadShares(LoadShares next) {
+    return new SchedulingState(
+        standing,
+        engines,
+        adapters,
+        waiting,
+        running,
+        deadlines,
+        shares,
+        next,
+        throughput,
+        prefixes,
+        readyEntries,
+        nextNumber,
+        nextSequence);
+  }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/OwnershipTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/engine/OwnershipTransitionTests.java
@@ -82,7 +82,7 @@
   }
 
   private void ask(Sender sender) {
-    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE);
+    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE, 0);
     PinRequest request = new PinRequest(ENGINE, nextNumber++, List.of(demand));
     apply(new EngineEvent.MessageReceived(sender, request));
   }
@@ -112,7 +112,7 @@
   @Test
   @DisplayName("refuses pins on engines that it does not own")
   void refusesForeignEngines() {
-    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE);
+    PinDemand demand = new PinDemand(ADAPTER, 1, 0, Priority.INTERACTIVE, 0);
     PinRequest request = new PinRequest(new UpstreamName("other"), 1, List.of(demand));
     apply(new EngineEvent.MessageReceived(PEER, request));
     assertEquals(PinRefusal.Reason.NOT_OWNER, messages(PinRefusal.class).get(0).reason());
