--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/QuotaMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/QuotaMessageTypes.java
@@ -114,6 +114,7 @@
     packer.packString(message.account().text());
     packer.packLong(message.parts());
     packer.packLong(message.microtokens());
+    packer.packLong(message.room());
     packer.packBoolean(message.renewed().isPresent());
     if (message.renewed().isPresent()) {
       encode(message.renewed().get(), packer);
@@ -126,6 +127,7 @@
         new ClientAccountName(unpacker.unpackString()),
         unpacker.unpackLong(),
         unpacker.unpackLong(),
+        unpacker.unpackLong(),
         unpacker.unpackBoolean() ? Optional.of(decodeLoan(unpacker)) : Optional.empty());
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/AccountState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/AccountState.java
@@ -141,6 +141,21 @@
    *
    * @param lender the host that was asked
    * @param sentAt when it was asked
+   * @param renewed the loan that is to be renewed; empty if there is none
+   * @param returned whether that loan has been returned since and must not come back into use
    */
-  record PendingAsk(HostName lender, MonotonicTime sentAt) {}
+  record PendingAsk(
+      HostName lender, MonotonicTime sentAt, Optional<LoanIdentifier> renewed, boolean returned) {
+
+    /** Tells whether parts of a loan that answers this request may be used. */
+    boolean admits(LoanIdentifier loan) {
+      return !returned || renewed.filter(loan::equals).isEmpty();
+    }
+
+    /** Returns this request after a loan was returned. */
+    PendingAsk afterReturnOf(LoanIdentifier loan) {
+      boolean same = renewed.filter(loan::equals).isPresent();
+      return new PendingAsk(lender, sentAt, renewed, returned || same);
+    }
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/DemandLending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/DemandLending.java
@@ -8,7 +8,7 @@
 final class DemandLending {
 
   private static final long FILLED_RESERVE_PERCENT = 110;
-  private static final long DRAINED_RESERVE_PERCENT = 250;
+  private static final long DRAINED_RESERVE_PERCENT = 130;
   private static final long TOKEN_RESERVE_MILLISECONDS = 500;
 
   private DemandLending() {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRequest.java
@@ -14,6 +14,7 @@
  * @param account the client account
  * @param parts how many parts more the sender could use, renewed ones included
  * @param microtokens how many tokens the sender lacks now
+ * @param room how many tokens find room at the sender without further parts, in microtokens
  * @param renewed the loan of the receiver that is to be renewed; empty if there is none
  */
 public record LoanRequest(
@@ -21,6 +22,7 @@
     ClientAccountName account,
     long parts,
     long microtokens,
+    long room,
     Optional<LoanIdentifier> renewed)
     implements PeerMessage {
 
@@ -30,6 +32,7 @@
     Preconditions.requireNonNull(account, "account");
     Preconditions.requireNonNegative(parts, "parts");
     Preconditions.requireNonNegative(microtokens, "microtokens");
+    Preconditions.requireNonNegative(room, "room");
     Preconditions.requireNonNull(renewed, "renewed");
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRules.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/LoanRules.java
@@ -47,21 +47,31 @@
       MonotonicTime time,
       long firstNumber,
       List<QuotaEffect> effects) {
+    long others = share.standing().map(standing -> standing.members().size() - 1L).orElse(0L);
+    if (time.isBefore(state.nextAskAt()) || others <= 0) {
+      return state;
+    }
     long parts = needs.lackingParts(state, time);
     long tokens = needs.lackingTokens(state, time);
-    long others = share.standing().map(standing -> standing.members().size() - 1L).orElse(0L);
-    boolean due = !time.isBefore(state.nextAskAt()) && share.standing().isPresent();
-    if (!due || (parts == 0 && tokens == 0)) {
+    long room = needs.room(state);
+    if (parts == 0 && tokens == 0) {
       return state;
     }
     PMap<Long, PendingAsk> asked = withoutOverdue(state.asked(), time);
     long number = firstNumber;
     for (HostName member : share.standing().get().members()) {
       if (!member.equals(settings.self())) {
-        asked = asked.plus(number, new PendingAsk(member, time));
         Optional<LoanIdentifier> renewed = state.borrowedFrom(member);
+        asked = asked.plus(number, new PendingAsk(member, time, renewed, false));
         long held = renewed.map(loan -> state.borrowed().get(loan).parts()).orElse(0L);
-        LoanRequest request = new LoanRequest(number, state.name(), parts + held, tokens, renewed);
+        LoanRequest request =
+            new LoanRequest(
+                number,
+                state.name(),
+                portion(parts, others) + held,
+                portion(tokens, others),
+                room / others,
+                renewed);
         effects.add(new QuotaEffect.Send(member, request));
         number++;
       }
@@ -78,7 +88,8 @@
       MonotonicTime time,
       long number,
       List<QuotaEffect> effects) {
-    AccountState current = giveBack(state, share, sender.host(), time, effects);
+    AccountState current =
+        request.microtokens() > 0 ? giveBack(state, share, sender.host(), time, effects) : state;
     if (share.parts() == 0 || !share.isUsable(time) || !current.waiting().isEmpty()) {
       return current;
     }
@@ -117,7 +128,7 @@
     AccountState answered =
         state.withAsked(state.asked().minus(grant.requestNumber()), state.nextAskAt());
     MonotonicTime until = ask.sentAt().plus(grant.duration()).minus(driftMargin);
-    if (grant.parts() > 0 && time.isBefore(until)) {
+    if (grant.parts() > 0 && ask.admits(grant.loan()) && time.isBefore(until)) {
       BorrowedLoan loan = new BorrowedLoan(sender.host(), grant.parts(), until);
       answered = answered.withLoans(answered.lent(), answered.borrowed().plus(grant.loan(), loan));
     }
@@ -156,11 +167,11 @@
       List<QuotaEffect> effects) {
     Optional<LoanIdentifier> loan = state.borrowedFrom(lender);
     long needed = needs.neededParts(state, time);
-    boolean spare =
-        loan.isPresent()
-            && state.waiting().isEmpty()
-            && (state.bucket().level() >= state.bucket().capacity() / 2
-                || state.bucket().parts() - state.borrowed().get(loan.get()).parts() >= needed);
+    long kept =
+        state.bucket().parts() - loan.map(known -> state.borrowed().get(known).parts()).orElse(0L);
+    boolean filled =
+        state.bucket().level() >= state.bucket().capacity() / 2 && kept >= needs.refundParts(state);
+    boolean spare = loan.isPresent() && state.waiting().isEmpty() && (filled || kept >= needed);
     return spare ? giveBack(state, share, loan.get(), time, effects) : state;
   }
 
@@ -176,13 +187,14 @@
     AccountState without = state.withLoans(state.lent(), state.borrowed().minus(loan));
     long capacity =
         state.limits().capacity(LoanBook.withParts(without, share.parts()).bucket().parts());
-    long excess = Math.max(0, state.bucket().level() - capacity);
-    long tokens = Math.min(most, Math.max(excess, spare));
+    long excess = excess(state, capacity);
+    long proportion = state.bucket().portion(borrowed.parts());
+    long tokens = Math.min(most, Math.max(Math.max(excess, proportion), spare));
     effects.add(
         new QuotaEffect.Send(borrowed.lender(), new LoanReturn(state.name(), loan, tokens)));
     AccountState charged = without.withBucket(without.bucket().charge(tokens));
     AccountState unasked =
-        charged.withAsked(withoutLender(charged.asked(), borrowed.lender()), charged.nextAskAt());
+        charged.withAsked(withReturned(charged.asked(), loan), charged.nextAskAt());
     return LoanBook.withParts(unasked, share.parts());
   }
 
@@ -192,7 +204,8 @@
       LoanRequest request,
       long renewedParts,
       MonotonicTime time) {
-    long free = Math.max(0, share.parts() - state.lentParts() + renewedParts);
+    long unlent = share.parts() - state.lentParts() + renewedParts;
+    long free = Math.max(0, unlent - needs.refundParts(state));
     Offer offer =
         policy.decide(
             new LendingView(
@@ -218,8 +231,12 @@
       Duration duration,
       List<QuotaEffect> effects) {
     long keptParts = LoanBook.withParts(state, share.parts()).bucket().parts();
-    long excess = Math.max(0, state.bucket().level() - state.limits().capacity(keptParts));
-    long tokens = Math.max(excess, offer.microtokens());
+    long excess = parts == 0 ? 0 : excess(state, state.limits().capacity(keptParts));
+    long proportion = state.bucket().portion(state.bucket().parts() - keptParts);
+    long tokens =
+        Math.max(
+            Math.max(excess, proportion),
+            Math.min(offer.microtokens(), request.room() + state.limits().capacity(parts)));
     LoanGrant grant =
         new LoanGrant(
             request.number(), borrower.incarnation(), state.name(), loan, parts, tokens, duration);
@@ -227,6 +244,12 @@
     return LoanBook.withParts(state.withBucket(state.bucket().charge(tokens)), share.parts());
   }
 
+  /** Returns the tokens that leave no room for expected refunds in a smaller bucket. */
+  private long excess(AccountState state, long capacity) {
+    long room = Math.max(0, capacity - needs.expectedRefunds(state));
+    return Math.max(0, state.bucket().level() - room);
+  }
+
   /** Returns what one of several hosts is asked for, since not all will lend. */
   private static long portion(long lacking, long hosts) {
     return Math.min(lacking, lacking * PORTION_PERCENT / 100 / hosts + 1);
@@ -247,14 +270,13 @@
     return remaining;
   }
 
-  private static PMap<Long, PendingAsk> withoutLender(
-      PMap<Long, PendingAsk> asked, HostName lender) {
-    PMap<Long, PendingAsk> remaining = asked;
+  /** Notes for all requests under way that a loan has been returned. */
+  private static PMap<Long, PendingAsk> withReturned(
+      PMap<Long, PendingAsk> asked, LoanIdentifier loan) {
+    PMap<Long, PendingAsk> noted = asked;
     for (Map.Entry<Long, PendingAsk> entry : asked.entrySet()) {
-      if (entry.getValue().lender().equals(lender)) {
-        remaining = remaining.minus(entry.getKey());
-      }
+      noted = noted.plus(entry.getKey(), entry.getValue().afterReturnOf(loan));
     }
-    return remaining;
+    return noted;
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Needs.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/Needs.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.quota.AccountState.BorrowedLoan;
+import org.parsleyhead.core.quota.AccountState.Reservation;
 import org.parsleyhead.core.quota.AccountState.WaitingRequest;
 
 /**
@@ -16,9 +17,29 @@
   private static final long TOKEN_RESERVE_MILLISECONDS = 250;
   private static final Duration RENEWAL_LEAD = Duration.ofMillis(1_000);
 
-  /** Returns the parts that the demand and the largest waiting request take up. */
+  /** Returns the parts that the demand, waiting requests and expected refunds take up. */
   long neededParts(AccountState state, MonotonicTime time) {
-    return Math.max(partsForRate(state, time), partsToHold(state));
+    long forRequests = Math.max(partsForRate(state, time), partsToHold(state));
+    return Math.max(forRequests, refundParts(state));
+  }
+
+  /** Returns the tokens that running requests are expected not to use. */
+  long expectedRefunds(AccountState state) {
+    long reserved =
+        state.reservations().values().stream().mapToLong(Reservation::microtokens).sum();
+    return (long) (reserved * (1 - state.demand().usedShare()));
+  }
+
+  /** Returns the tokens that find room beside the expected refunds, or for waiting requests. */
+  long room(AccountState state) {
+    long empty = state.bucket().capacity() - state.bucket().level();
+    return Math.min(empty, Math.max(0, empty - expectedRefunds(state)) + waitingTokens(state));
+  }
+
+  /** Returns the parts without which expected refunds would find no room. */
+  long refundParts(AccountState state) {
+    long burst = Math.max(1, state.limits().burstTokens());
+    return Math.min(QuotaUnits.PARTS, expectedRefunds(state) / burst);
   }
 
   /** Returns how many parts more are needed, those of loans that end soon included. */
@@ -38,8 +59,8 @@
 
   /** Returns how many tokens are lacking for waiting requests and the reserve. */
   long lackingTokens(AccountState state, MonotonicTime time) {
-    long waiting = state.waiting().stream().mapToLong(WaitingRequest::microtokens).sum();
-    long wanted = waiting + Math.min(tokenReserve(state, time), state.bucket().capacity() / 4);
+    long wanted =
+        waitingTokens(state) + Math.min(tokenReserve(state, time), state.bucket().capacity() / 4);
     long parts = Math.min(QuotaUnits.PARTS, state.bucket().parts() + lackingParts(state, time));
     long most = Math.min(wanted, state.limits().capacity(parts));
     return Math.max(0, most - state.bucket().level());
@@ -50,6 +71,10 @@
     return state.demand().perSecond(time) / 1000 * TOKEN_RESERVE_MILLISECONDS;
   }
 
+  private static long waitingTokens(AccountState state) {
+    return state.waiting().stream().mapToLong(WaitingRequest::microtokens).sum();
+  }
+
   private static long partsForRate(AccountState state, MonotonicTime time) {
     long parts = state.demand().parts(state.limits(), time) * MARGIN_PERCENT / 100;
     return Math.min(QuotaUnits.PARTS, parts);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/TokenBucket.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/TokenBucket.java
@@ -33,6 +33,11 @@
     return limits.capacity(parts);
   }
 
+  /** Returns the tokens that some of the parts hold when all are filled alike. */
+  long portion(long someParts) {
+    return parts == 0 ? 0 : Math.min(level, (long) ((double) level * someParts / parts));
+  }
+
   /** Returns this bucket at a later instant; itself if the instant is not later. */
   TokenBucket advance(MonotonicTime time) {
     if (!updatedAt.isBefore(time)) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
@@ -88,6 +88,7 @@
         new FakeFleet(
             seed, size, FakeFleet.limits(1, RATE, BURST), LendingPolicy.byDemand(), transitions);
     fleet.duplication = 0.05;
+    fleet.longestDuration = 6 * FakeFleet.SECOND;
     // Most requests use all that they reserved, and some nothing.
     fleet.usedShare = () -> fleet.random.nextInt(10) < 8 ? 1 : 0;
     long time = 15 * FakeFleet.SECOND;
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/TokenBucketTests.java
@@ -0,0 +1,81 @@
+package org.parsleyhead.core.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.MonotonicTime;
+
+@DisplayName("A token bucket")
+class TokenBucketTests {
+
+  private static final long TOKEN = QuotaUnits.MICROTOKENS_PER_TOKEN;
+
+  private final TokenBucket empty =
+      TokenBucket.empty(FakeFleet.limits(1, 100, 1_000), MonotonicTime.ORIGIN);
+
+  private static MonotonicTime after(long seconds) {
+    return MonotonicTime.ORIGIN.plus(Duration.ofSeconds(seconds));
+  }
+
+  @Test
+  @DisplayName("fills at the rate of its parts up to the burst of its parts")
+  void fills() {
+    TokenBucket half = empty.withParts(QuotaUnits.PARTS / 2);
+    assertEquals(50 * TOKEN, half.advance(after(1)).level());
+    assertEquals(500 * TOKEN, half.advance(after(1_000_000)).level());
+  }
+
+  @Test
+  @DisplayName("does not go back in time")
+  void ignoresEarlierTimes() {
+    TokenBucket later = empty.withParts(QuotaUnits.PARTS).advance(after(5));
+    assertEquals(later, later.advance(after(4)));
+  }
+
+  @Nested
+  @DisplayName("that is refunded")
+  class Refunded {
+
+    private final TokenBucket full = empty.withParts(QuotaUnits.PARTS).advance(after(10));
+
+    @Test
+    @DisplayName("gets all back at once")
+    void atOnce() {
+      TokenBucket charged = full.charge(400 * TOKEN);
+      assertEquals(1_000 * TOKEN, charged.refund(charged.mark(), 400 * TOKEN).level());
+    }
+
+    @Test
+    @DisplayName("gets nothing back that it would have lost to a full bucket meanwhile")
+    void afterFilling() {
+      TokenBucket charged = full.charge(400 * TOKEN);
+      TokenBucket drained = charged.advance(after(20)).charge(1_000 * TOKEN);
+      assertEquals(0, drained.refund(charged.mark(), 400 * TOKEN).level());
+    }
+
+    @Test
+    @DisplayName("counts the refunds of other requests")
+    void afterOtherRefund() {
+      TokenBucket first = full.charge(400 * TOKEN);
+      TokenBucket second = first.charge(400 * TOKEN);
+      TokenBucket refilled = second.advance(after(15));
+      TokenBucket once = refilled.refund(first.mark(), 400 * TOKEN);
+      TokenBucket twice = once.refund(second.mark(), 400 * TOKEN);
+      assertEquals(1_000 * TOKEN, twice.level());
+    }
+  }
+
+  @Test
+  @DisplayName("keeps refunds small when its history is full")
+  void keepsHistoryShort() {
+    TokenBucket bucket = empty.withParts(QuotaUnits.PARTS).advance(after(10)).charge(900 * TOKEN);
+    long mark = bucket.mark();
+    for (int index = 0; index < 1_000; index++) {
+      bucket = bucket.charge(1);
+    }
+    assertEquals(100 * TOKEN - 1_000 + 900 * TOKEN, bucket.refund(mark, 900 * TOKEN).level());
+  }
+}
