Plain services are chosen by the routing duty: nearest domain, two random choices, ejection

Cause: the whole path chose plain services by hash of the request, without load or health. Change: the routing core runs as a duty of its own; its tick hands it the catalogue's upstreams again, so that a lost event heals. Run: WholePathTests and the shape tests pass with it.

--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/CatalogueDistribution.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/CatalogueDistribution.java
@@ -15,6 +15,7 @@
 import org.parsleyhead.core.quota.Limits;
 import org.parsleyhead.core.quota.QuotaEvent;
 import org.parsleyhead.core.request.RequestEvent;
+import org.parsleyhead.core.routing.RoutingEvent;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
 import org.parsleyhead.core.ticket.AppliedChange;
 import org.parsleyhead.core.ticket.Catalogue;
@@ -76,6 +77,7 @@
     boolean accepted =
         rings.request().offer(new RequestEvent.CatalogueChanged(effective, withdrawnKeys))
             & rings.scheduling().offer(new SchedulingEvent.UpstreamsChanged(upstreams))
+            & rings.routing().offer(new RoutingEvent.UpstreamsChanged(upstreams))
             & rings.ownership().offer(new EngineEvent.UpstreamsChanged(upstreams));
     if (!accepted) {
       log.warning("catalogue_not_distributed", "highest", effective.highest());
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
@@ -29,6 +29,12 @@
 import org.parsleyhead.core.request.RequestEvent;
 import org.parsleyhead.core.request.RequestState;
 import org.parsleyhead.core.request.RequestTransition;
+import org.parsleyhead.core.routing.DomainDistance;
+import org.parsleyhead.core.routing.RoutingEffect;
+import org.parsleyhead.core.routing.RoutingEvent;
+import org.parsleyhead.core.routing.RoutingSettings;
+import org.parsleyhead.core.routing.RoutingState;
+import org.parsleyhead.core.routing.RoutingTransition;
 import org.parsleyhead.core.scheduling.SchedulingEffect;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
 import org.parsleyhead.core.scheduling.SchedulingPolicy;
@@ -49,6 +55,7 @@
 final class EntryDuties implements AutoCloseable {
 
   private static final Duration REQUEST_TICK = Duration.ofMillis(100);
+  private static final Duration RECONCILIATION = Duration.ofSeconds(5);
   private static final Duration DECISION_TICK = Duration.ofMillis(50);
 
   private final EntrySettings settings;
@@ -60,6 +67,7 @@
   private final Duty<RepeatState, RepeatEvent, RepeatEffect> repeats;
   private final Duty<QuotaState, QuotaEvent, QuotaEffect> quota;
   private final Duty<SchedulingState, SchedulingEvent, SchedulingEffect> scheduling;
+  private final Duty<RoutingState, RoutingEvent, RoutingEffect> routing;
   private final Duty<OwnershipState, EngineEvent, EngineEffect> ownership;
 
   EntryDuties(
@@ -106,6 +114,15 @@
             QuotaEvent.Tick::new,
             DECISION_TICK);
     this.scheduling = schedulingDuty(sockets, standing, now);
+    this.routing =
+        duty(
+            rings.routing(),
+            RoutingState.initial(),
+            new RoutingTransition(
+                RoutingSettings.defaults(), DomainDistance.ownFirst(settings.failureDomain())),
+            new RoutingEffects(rings, this::catalogue, clock, log),
+            () -> new RoutingEvent.UpstreamsChanged(catalogue().upstreams()),
+            RECONCILIATION);
     this.ownership = ownershipDuty(sockets, standing, membership, now);
   }
 
@@ -113,6 +130,7 @@
     quota.start();
     repeats.start();
     scheduling.start();
+    routing.start();
     ownership.start();
     requests.start();
   }
@@ -121,6 +139,7 @@
   public void close() {
     requests.close();
     ownership.close();
+    routing.close();
     scheduling.close();
     repeats.close();
     quota.close();
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -92,9 +92,8 @@
             rings.request()::offer);
     this.engines = new EngineClient(this::catalogue, clock, rings.ownership()::offer);
     PeerRouter router = new PeerRouter(self, rings, this::sendToPeer);
-    PlainCalls plainCalls = new PlainCalls(rings, this::catalogue, clock);
     RequestEffects requestEffects =
-        new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, plainCalls));
+        new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, random));
     ControlPlaneSettings controlSettings =
         ControlPlaneSettings.of(
             self,
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestWiring.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestWiring.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.entry.process;
 
+import java.util.function.LongSupplier;
 import org.parsleyhead.core.api.UpstreamName;
 import org.parsleyhead.core.idempotency.RepeatEffect;
 import org.parsleyhead.core.idempotency.RepeatEvent;
@@ -9,6 +10,8 @@
 import org.parsleyhead.core.request.AttemptResult;
 import org.parsleyhead.core.request.RequestEffect;
 import org.parsleyhead.core.request.RequestEvent;
+import org.parsleyhead.core.routing.AttemptOutcome;
+import org.parsleyhead.core.routing.RoutingEvent;
 import org.parsleyhead.core.scheduling.RequestOutcome;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
 
@@ -22,7 +25,7 @@
   private RequestWiring() {}
 
   /** Returns where the effects of requests go. */
-  static RequestPorts ports(Rings rings, PlainCalls plainCalls) {
+  static RequestPorts ports(Rings rings, LongSupplier random) {
     return new RequestPorts(
         reserve ->
             rings
@@ -43,11 +46,8 @@
         check -> rings.repeat().offer(new RepeatEvent.Check(check.identifier(), check.repeatKey())),
         forget -> rings.repeat().offer(new RepeatEvent.Forget(forget.identifier())),
         submit -> rings.scheduling().offer(new SchedulingEvent.Submitted(submit.request())),
-        plainCalls::submit,
-        withdraw -> {
-          plainCalls.withdraw(withdraw);
-          withdraw(rings, withdraw);
-        });
+        submit -> rings.routing().offer(wanted(submit, random.getAsLong())),
+        withdraw -> withdraw(rings, withdraw));
   }
 
   /** Hands the decisions on rate and burst to the request duty. */
@@ -78,12 +78,38 @@
 
   private static void withdraw(Rings rings, RequestEffect.Withdraw withdraw) {
     rings.scheduling().offer(schedulingEvent(withdraw));
+    withdraw
+        .upstream()
+        .ifPresent(
+            upstream ->
+                rings
+                    .routing()
+                    .offer(
+                        new RoutingEvent.AttemptEnded(
+                            withdraw.identifier(), upstream, attemptOutcome(withdraw.result()))));
     if (withdraw.result() == AttemptResult.UNREACHABLE) {
       UpstreamName upstream = withdraw.upstream().orElseThrow();
       rings.scheduling().offer(new SchedulingEvent.UpstreamFailed(upstream));
     }
   }
 
+  private static RoutingEvent wanted(RequestEffect.SubmitPlainCall call, long randomNumber) {
+    return new RoutingEvent.UpstreamWanted(
+        call.identifier(),
+        call.route().upstreams(),
+        call.excluded(),
+        call.route().idempotent(),
+        randomNumber);
+  }
+
+  private static AttemptOutcome attemptOutcome(AttemptResult result) {
+    return switch (result) {
+      case FINISHED, ADAPTER_ABSENT -> AttemptOutcome.ANSWERED;
+      case UNREACHABLE, FAILED -> AttemptOutcome.FAILED;
+      case TOO_LATE, CANCELLED -> AttemptOutcome.ABANDONED;
+    };
+  }
+
   private static SchedulingEvent schedulingEvent(RequestEffect.Withdraw withdraw) {
     if (withdraw.upstream().isEmpty()) {
       return new SchedulingEvent.Cancelled(withdraw.identifier());
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/Rings.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/Rings.java
@@ -4,6 +4,7 @@
 import org.parsleyhead.core.idempotency.RepeatEvent;
 import org.parsleyhead.core.quota.QuotaEvent;
 import org.parsleyhead.core.request.RequestEvent;
+import org.parsleyhead.core.routing.RoutingEvent;
 import org.parsleyhead.core.scheduling.SchedulingEvent;
 import org.parsleyhead.runtime.duty.Ring;
 import org.parsleyhead.runtime.metrics.Metrics;
@@ -19,6 +20,7 @@
  * @param repeat events of the recognition of repetitions
  * @param quota events of rate and burst
  * @param scheduling events of the choice of engines
+ * @param routing events of the choice of plain services
  * @param ownership events of engine ownership
  */
 record Rings(
@@ -26,6 +28,7 @@
     Ring<RepeatEvent> repeat,
     Ring<QuotaEvent> quota,
     Ring<SchedulingEvent> scheduling,
+    Ring<RoutingEvent> routing,
     Ring<EngineEvent> ownership) {
 
   private static final int EVENTS_PER_REQUEST = 8;
@@ -39,6 +42,7 @@
         new Ring<>("repeat", perRequest),
         new Ring<>("quota", perRequest),
         new Ring<>("scheduling", perRequest),
+        new Ring<>("routing", perRequest),
         new Ring<>("ownership", CONTROL_EVENTS));
   }
 
@@ -48,6 +52,7 @@
     metrics.ring(repeat);
     metrics.ring(quota);
     metrics.ring(scheduling);
+    metrics.ring(routing);
     metrics.ring(ownership);
   }
 }
