Accounts are equal again when no load is wanted

Ruled out: a wrong test; start-time fair queueing forgets leads at the end of a busy period. Change: the shares start anew when nothing is wanted.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/LoadShares.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/scheduling/LoadShares.java
@@ -10,7 +10,7 @@
  *
  * <p>An account that causes many more loads than the others runs ahead of virtual time; by how much
  * is told to the owners of engines, who load for the others first. Virtual time is the beginning of
- * the earliest load that is still wanted.
+ * the earliest load that is still wanted. When none is wanted, all accounts are equal again.
  *
  * <p>Immutable and thread-safe. Accounts that are not ahead of virtual time have no state.
  *
@@ -78,8 +78,10 @@
 
   private LoadShares end(Claim claim, double accountEnd) {
     TreePSet<Claim> remaining = wanted.minus(claim);
-    double earliest = remaining.isEmpty() ? claim.start() : remaining.first().start();
-    double next = Math.max(virtualTime, earliest);
+    if (remaining.isEmpty()) {
+      return new LoadShares(0, HashTreePMap.empty(), remaining, nextSequence);
+    }
+    double next = Math.max(virtualTime, remaining.first().start());
     return new LoadShares(
         next,
         accountEnd <= next
