Smaller classes for orders, slots, ends of orders and expiry of engine state

Change: SlotRecall, OrderEnds and EngineExpiry; the jitter is derived from engine, adapter and order.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineEvent.java
@@ -35,6 +35,6 @@
   record OrderEnded(UpstreamName engine, long orderNumber, OrderOutcome outcome)
       implements EngineEvent {}
 
-  /** Time has passed; carries a random number for jitter. */
+  /** Time has passed; carries a random number for decisions that need one. */
   record Tick(long randomNumber) implements EngineEvent {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
@@ -1,7 +1,6 @@
 package org.parsleyhead.core.engine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,24 +19,22 @@
  */
 final class EngineOrders {
 
-  private static final Duration NO_SLOT_PATIENCE = Duration.ofSeconds(2);
-  private static final Duration RECALL_DURATION = Duration.ofSeconds(5);
-  private static final Duration RETRY_NO_SLOT = Duration.ofSeconds(1);
   private static final Duration READING_TIMEOUT = Duration.ofSeconds(5);
   private static final int PERMIT_REFRESHES_IN_WINDOW = 4;
-  private static final int LARGEST_BACKOFF_DOUBLINGS = 10;
 
   private final OwnershipSettings settings;
   private final OwnershipRights rights;
   private final PinDesk pins;
-  private final VictimChoice victims;
+  private final SlotRecall slots;
+  private final OrderEnds ends;
 
   EngineOrders(
       OwnershipSettings settings, OwnershipRights rights, PinDesk pins, VictimChoice victims) {
     this.settings = settings;
     this.rights = rights;
     this.pins = pins;
-    this.victims = victims;
+    this.slots = new SlotRecall(settings, rights, pins, victims);
+    this.ends = new OrderEnds(settings, pins);
   }
 
   /** Gives the next order, if one is due and allowed. */
@@ -91,14 +88,14 @@
         engine.orders().pending().filter(pending -> pending.number() == ended.orderNumber());
     return order.isEmpty()
         ? Step.of(state)
-        : settle(state, engine, order.get(), ended.outcome(), 0, time)
+        : ends.settle(state, engine, order.get(), ended.outcome(), time)
             .andThen(next -> pins.answerWaiters(next, ended.engine(), time))
             .andThen(next -> advance(next, ended.engine(), time));
   }
 
   /** Ends orders without an answer and begins readings that are due. */
   Step<OwnershipState, EngineEffect> expire(
-      OwnershipState state, UpstreamName name, long randomNumber, MonotonicTime time) {
+      OwnershipState state, UpstreamName name, MonotonicTime time) {
     OwnedEngine engine = state.owned().get(name);
     Optional<OrderBook.Order> late =
         engine
@@ -108,7 +105,7 @@
     Step<OwnershipState, EngineEffect> step =
         late.isEmpty()
             ? Step.of(state)
-            : settle(state, engine, late.get(), OrderOutcome.UNKNOWN, randomNumber, time);
+            : ends.settle(state, engine, late.get(), OrderOutcome.UNKNOWN, time);
     return step.andThen(next -> read(next, next.owned().get(name), time));
   }
 
@@ -234,10 +231,7 @@
 
   private Step<OwnershipState, EngineEffect> makeRoom(
       OwnershipState state, OwnedEngine engine, AdapterReference wanted, MonotonicTime time) {
-    Optional<VictimChoice.Candidate> victim =
-        rights.mayEvictAnything(engine, state.standing(), time)
-            ? victims.choose(candidates(engine, time))
-            : Optional.empty();
+    Optional<VictimChoice.Candidate> victim = slots.evictable(state, engine, time);
     return victim.isPresent()
         ? withPermit(
             state,
@@ -246,23 +240,7 @@
             time,
             (current, owned, ignored, permit, now) ->
                 unload(current, owned, victim.get().adapter(), now))
-        : recallOrRefuse(state, engine, wanted, time);
-  }
-
-  private List<VictimChoice.Candidate> candidates(OwnedEngine engine, MonotonicTime time) {
-    return engine.residency().resident().stream()
-        .filter(adapter -> rights.isUnused(engine, adapter, time))
-        .map(adapter -> candidate(engine, adapter, time))
-        .toList();
-  }
-
-  private VictimChoice.Candidate candidate(
-      OwnedEngine engine, AdapterReference adapter, MonotonicTime time) {
-    DecayedRate rate = engine.uses().get(adapter);
-    return new VictimChoice.Candidate(
-        adapter,
-        engine.expectedReuse(adapter, time, settings.reuseHalfLife()),
-        rate == null ? MonotonicTime.ORIGIN : rate.lastUse());
+        : slots.recallOrRefuse(state, engine, wanted, time);
   }
 
   private Step<OwnershipState, EngineEffect> unload(
@@ -279,105 +257,6 @@
         new EngineEffect.UnloadAdapter(engine.name(), number, victim, fencing(state, engine)));
   }
 
-  /** Asks for a slot back, or lets the hosts try another engine if that takes too long. */
-  private Step<OwnershipState, EngineEffect> recallOrRefuse(
-      OwnershipState state, OwnedEngine engine, AdapterReference wanted, MonotonicTime time) {
-    Demand demand = engine.demand(wanted, time);
-    if (!time.isBefore(demand.since().plus(NO_SLOT_PATIENCE))) {
-      List<EngineEffect> refusals =
-          pins.refuseWaiters(engine, wanted, PinRefusal.Reason.NO_SLOT, RETRY_NO_SLOT, time);
-      return state.with(engine.withDemands(engine.demands().minus(wanted))).step(refusals);
-    }
-    boolean freeing =
-        engine.residency().resident().stream()
-            .anyMatch(
-                adapter ->
-                    engine.isRecalled(adapter, time) || !engine.pins().isPinned(adapter, time));
-    return freeing || !rights.mayEvictAnything(engine, state.standing(), time)
-        ? Step.of(state)
-        : recall(state, engine, wanted, time);
-  }
-
-  private Step<OwnershipState, EngineEffect> recall(
-      OwnershipState state, OwnedEngine engine, AdapterReference wanted, MonotonicTime time) {
-    List<VictimChoice.Candidate> idle =
-        engine.residency().resident().stream()
-            .filter(adapter -> !engine.residency().active().contains(adapter))
-            .map(adapter -> candidate(engine, adapter, time))
-            .toList();
-    Optional<VictimChoice.Candidate> victim =
-        victims
-            .choose(idle)
-            .filter(found -> found.expectedReuse() < engine.demand(wanted, time).requests());
-    if (victim.isEmpty()) {
-      return Step.of(state);
-    }
-    AdapterReference adapter = victim.get().adapter();
-    PinRecall message = new PinRecall(engine.name(), adapter);
-    List<EngineEffect> effects = new ArrayList<>();
-    for (HostName holder : engine.pins().holders(adapter)) {
-      effects.add(new EngineEffect.Send(holder, message));
-    }
-    OwnedEngine recalled =
-        engine.withRecalled(engine.recalledUntil().plus(adapter, time.plus(RECALL_DURATION)));
-    return state.with(recalled).step(effects);
-  }
-
-  private Step<OwnershipState, EngineEffect> settle(
-      OwnershipState state,
-      OwnedEngine engine,
-      OrderBook.Order order,
-      OrderOutcome outcome,
-      long randomNumber,
-      MonotonicTime time) {
-    OwnedEngine settled = engine.withOrders(engine.orders().ended(outcome, time));
-    List<EngineEffect> effects = new ArrayList<>();
-    if (order.permit().isPresent() && outcome != OrderOutcome.UNKNOWN) {
-      OrderBook.Permit permit = order.permit().get();
-      effects.add(new EngineEffect.Send(permit.keeper(), new PermitReturn(permit.number(), true)));
-    }
-    Residency residency = settled.residency();
-    if (outcome == OrderOutcome.DONE) {
-      residency =
-          order.load()
-              ? residency.loaded(order.adapter(), time)
-              : residency.without(order.adapter(), time);
-      return state.with(settled.withResidency(residency)).step(effects);
-    }
-    if (outcome == OrderOutcome.UNKNOWN) {
-      residency = residency.quarantine(order.adapter(), time.plus(settings.orderLifetime()));
-      settled = settled.withResidency(residency);
-    }
-    return order.load()
-        ? failLoad(state, settled, order.adapter(), randomNumber, time).with(effects)
-        : state.with(settled).step(effects);
-  }
-
-  private Step<OwnershipState, EngineEffect> failLoad(
-      OwnershipState state,
-      OwnedEngine engine,
-      AdapterReference adapter,
-      long randomNumber,
-      MonotonicTime time) {
-    Demand demand = engine.demand(adapter, time);
-    Duration backoff = backoff(demand.failures(), randomNumber);
-    List<EngineEffect> refusals =
-        pins.refuseWaiters(engine, adapter, PinRefusal.Reason.LOAD_FAILED, backoff, time);
-    OwnedEngine failed =
-        engine.withDemands(engine.demands().plus(adapter, demand.failed(time.plus(backoff))));
-    return state.with(failed).step(refusals);
-  }
-
-  /** Returns a wait between half and all of the doubled one. */
-  private Duration backoff(int failures, long randomNumber) {
-    int doublings = Math.min(failures, LARGEST_BACKOFF_DOUBLINGS);
-    long longest =
-        Math.min(
-            settings.firstBackoff().toMillis() << doublings, settings.longestBackoff().toMillis());
-    long half = Math.max(1, longest / 2);
-    return Duration.ofMillis(half + Math.floorMod(randomNumber, half));
-  }
-
   private static long fencing(OwnershipState state, OwnedEngine engine) {
     return FencingNumber.of(state.standing(), engine.orders().fencingRetries());
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/OwnershipTransition.java
@@ -25,6 +25,7 @@
 
   private final OwnershipSettings settings;
   private final PinDesk pins;
+  private final EngineExpiry expiry;
   private final EngineOrders orders;
 
   /** Creates the transition with its settings and the choice of victims. */
@@ -32,6 +33,7 @@
     this.settings = Preconditions.requireNonNull(settings, "settings");
     OwnershipRights rights = new OwnershipRights(settings);
     this.pins = new PinDesk(settings, rights);
+    this.expiry = new EngineExpiry(settings);
     this.orders = new EngineOrders(settings, rights, pins, victims);
   }
 
@@ -58,7 +60,7 @@
     if (event instanceof EngineEvent.OrderEnded ended) {
       return orders.end(state, ended, time);
     }
-    return tick(state, ((EngineEvent.Tick) event).randomNumber(), time);
+    return tick(state, time);
   }
 
   private Step<OwnershipState, EngineEffect> changeStanding(
@@ -176,13 +178,12 @@
         .andThen(next -> orders.advance(next, report.engine(), time));
   }
 
-  private Step<OwnershipState, EngineEffect> tick(
-      OwnershipState state, long randomNumber, MonotonicTime time) {
+  private Step<OwnershipState, EngineEffect> tick(OwnershipState state, MonotonicTime time) {
     Step<OwnershipState, EngineEffect> step = grantPermits(observe(state, time), time);
     for (UpstreamName engine : state.owned().keySet()) {
       step =
-          step.andThen(next -> Step.of(pins.expire(next, engine, time)))
-              .andThen(next -> orders.expire(next, engine, randomNumber, time))
+          step.andThen(next -> Step.of(expiry.expire(next, engine, time)))
+              .andThen(next -> orders.expire(next, engine, time))
               .andThen(next -> pins.answerWaiters(next, engine, time))
               .andThen(next -> orders.advance(next, engine, time));
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/PinDesk.java
@@ -23,9 +23,6 @@
   private static final Duration RETRY_IN_DOUBT = Duration.ofMillis(500);
   private static final Duration RETRY_NOT_OWNER = Duration.ofMillis(200);
   private static final Duration RETRY_NO_SLOT = Duration.ofSeconds(1);
-  private static final Duration WAITER_LIFETIME = Duration.ofSeconds(4);
-  private static final Duration LISTENER_LIFETIME = Duration.ofSeconds(60);
-  private static final double SMALLEST_REUSE = 0.01;
   private static final int FRESH_READ_INTERVALS = 4;
 
   private final OwnershipSettings settings;
@@ -120,42 +117,6 @@
     return state.with(current).step(effects);
   }
 
-  /** Forgets what has ended: pins, waiters, recalls, listeners and old uses. */
-  OwnershipState expire(OwnershipState state, UpstreamName name, MonotonicTime time) {
-    OwnedEngine engine = state.owned().get(name);
-    PinTable pins = engine.pins().expire(time).forgetBefore(time.minus(settings.pinCounted()));
-    OwnedEngine current = engine.withPins(pins).withResidency(engine.residency().expire(time));
-    PMap<AdapterReference, Demand> demands = current.demands();
-    for (var entry : current.demands().entrySet()) {
-      Demand kept = entry.getValue().retainSince(time.minus(WAITER_LIFETIME));
-      demands =
-          kept.isForgettable(time, settings.longestBackoff())
-              ? demands.minus(entry.getKey())
-              : demands.plus(entry.getKey(), kept);
-    }
-    PMap<AdapterReference, DecayedRate> uses = current.uses();
-    for (var entry : current.uses().entrySet()) {
-      if (entry.getValue().valueAt(time, settings.reuseHalfLife()) < SMALLEST_REUSE) {
-        uses = uses.minus(entry.getKey());
-      }
-    }
-    var recalled = current.recalledUntil();
-    for (var entry : current.recalledUntil().entrySet()) {
-      recalled = time.isBefore(entry.getValue()) ? recalled : recalled.minus(entry.getKey());
-    }
-    var listeners = current.listeners();
-    for (var entry : current.listeners().entrySet()) {
-      boolean heard = time.isBefore(entry.getValue().plus(LISTENER_LIFETIME));
-      listeners = heard ? listeners : listeners.minus(entry.getKey());
-    }
-    return state.with(
-        current
-            .withDemands(demands)
-            .withUses(uses)
-            .withRecalled(recalled)
-            .withListeners(listeners));
-  }
-
   /** Refuses all hosts that wait for an adapter. */
   List<EngineEffect> refuseWaiters(
       OwnedEngine engine,
