--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransport.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/peer/PeerTransport.java
@@ -44,6 +44,8 @@
   private static final int EVENT_LOOPS = 2;
   private static final int RING_CAPACITY = 4_096;
   private static final int ACCEPT_BACKLOG = 512;
+  private static final long QUIET_MILLISECONDS = 50;
+  private static final long SHUTDOWN_MILLISECONDS = 1_000;
 
   private final Supplier<HostList> hostList;
   private final TransportCounters counters = new TransportCounters();
@@ -126,7 +128,9 @@
   public void close() {
     duty.close();
     accepted.close();
-    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    eventLoops
+        .shutdownGracefully(QUIET_MILLISECONDS, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly();
   }
 
   private void listen(
