Tell the last standing again while a planned stop waits for its confirmation

Cause: a stopping host gets no new attestations, so a lost confirmation was never followed by another one, and the rights were never released.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Membership.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Membership.java
@@ -93,6 +93,10 @@
       List<MembershipEffect> effects) {
     RightsState rights = attestations.expire(state.rights(), time);
     boolean releasing = rights.stopping() && !hasReleased(state);
+    if (releasing && !time.isBefore(rights.nextRequest())) {
+      effects.add(new MembershipEffect.StandingChanged(state.sequence(), state.standing()));
+      rights = rights.withRequests(rights.pending(), time.plus(settings.attestationInterval()));
+    }
     if (!releasing) {
       rights =
           attestations.request(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/MembershipEffect.java
@@ -26,7 +26,7 @@
    * The rights of this host have changed. As soon as every user of these rights acts on the new
    * standing, the event {@link MembershipEvent.StandingApplied} is due.
    *
-   * @param sequence grows by one with each standing
+   * @param sequence grows by one with each standing; a standing is told again while a stop waits
    * @param standing the new standing
    */
   record StandingChanged(long sequence, Standing standing) implements MembershipEffect {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
@@ -161,6 +161,20 @@
       assertTrue(released.contains(new MembershipEffect.Send(OTHER, new Farewell())));
     }
 
+    @Test
+    @DisplayName("tells the standing again until it is confirmed")
+    void asksAgain() {
+      read(1, SELF, OTHER);
+      apply(new MembershipEvent.StopRequested(), LATER);
+      MembershipEffect standing =
+          new MembershipEffect.StandingChanged(state.sequence(), state.standing());
+      MonotonicTime next = LATER.plus(SETTINGS.attestationInterval());
+      assertTrue(apply(new MembershipEvent.Tick(1), next).contains(standing));
+      apply(new MembershipEvent.StandingApplied(state.sequence()), next);
+      MonotonicTime afterwards = next.plus(SETTINGS.attestationInterval());
+      assertFalse(apply(new MembershipEvent.Tick(2), afterwards).contains(standing));
+    }
+
     @Test
     @DisplayName("of another host lets its next run be attested and its rights be claimed at once")
     void claimsAtOnce() {
