--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/EngineMessageTypes.java
@@ -97,7 +97,7 @@
     for (PinDemand demand : message.demands()) {
       packer.packString(demand.adapter().text());
       packer.packInt(demand.waiting()).packInt(demand.starts());
-      packer.packInt(PRIORITIES.indexOf(demand.urgency()));
+      packer.packInt(PRIORITIES.indexOf(demand.urgency())).packInt(demand.loadsAhead());
     }
   }
 
@@ -112,7 +112,8 @@
               readAdapter(unpacker),
               unpacker.unpackInt(),
               unpacker.unpackInt(),
-              constant(PRIORITIES, unpacker.unpackInt())));
+              constant(PRIORITIES, unpacker.unpackInt()),
+              unpacker.unpackInt()));
     }
     return new PinRequest(engine, number, demands);
   }
@@ -154,7 +155,7 @@
   private static void writePinRelease(PinRelease message, MessagePacker packer) throws IOException {
     packer.packString(message.engine().text()).packLong(message.throughNumber());
     writeAdapters(message.adapters(), packer);
-    packer.packBoolean(message.missing());
+    packer.packInt(message.starts()).packBoolean(message.missing());
   }
 
   private static PinRelease readPinRelease(MessageUnpacker unpacker) throws IOException {
@@ -162,6 +163,7 @@
         readEngine(unpacker),
         unpacker.unpackLong(),
         readAdapters(unpacker),
+        unpacker.unpackInt(),
         unpacker.unpackBoolean());
   }
 
