--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/ShareRules.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quota/ShareRules.java
@@ -82,7 +82,9 @@
             : observed;
     ShareState taken =
         mayEnter(installed, time) ? installed.withEntered(installed.cuts()) : installed;
-    return taken.withRightUntil(rightUntil(taken, time));
+    boolean changed = !taken.cuts().equals(state.cuts()) || taken.entered() != state.entered();
+    ShareState announced = changed ? taken.withNoticeDue(time) : taken;
+    return announced.withRightUntil(rightUntil(announced, time));
   }
 
   /** Adds the notices to the other members, if they are due. */
