--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.parsleyhead.core.api.HostName;
 
 @DisplayName("A fleet under faults")
@@ -21,19 +23,31 @@
   private static final long BURST = 4_000;
   private static final long LENGTH = 150 * FakeFleet.SECOND;
   private static final int FEW_SCHEDULES = 60;
+  private static final int SCHEDULES_OF_A_KIND = 200;
   private static final int MANY_SCHEDULES = 3_000;
 
+  enum Fault {
+    PAUSE,
+    RESTART,
+    CRASH,
+    PARTITION,
+    LOSS,
+    DELAY,
+    LIST_CHANGE,
+    TICKET
+  }
+
   @Test
   @DisplayName("never admits more than rate and burst")
   void keepsBound() {
-    check(1, FEW_SCHEDULES);
+    check(1, FEW_SCHEDULES, List.of(Fault.values()));
   }
 
   @Test
   @Tag("long-running")
   @DisplayName("never admits more than rate and burst in thousands of schedules")
   void keepsBoundInMany() {
-    check(10_000, MANY_SCHEDULES);
+    check(10_000, MANY_SCHEDULES, List.of(Fault.values()));
   }
 
   @Test
@@ -65,11 +79,20 @@
     return fleet.ledger.admittedOverAllowed();
   }
 
-  private static void check(long firstSeed, int schedules) {
+  @ParameterizedTest
+  @EnumSource
+  @Tag("long-running")
+  @DisplayName("never admits more than rate and burst under one kind of fault")
+  void keepsBoundUnder(Fault fault) {
+    System.out.print(fault + ": ");
+    check(50_000, SCHEDULES_OF_A_KIND, List.of(fault));
+  }
+
+  private static void check(long firstSeed, int schedules, List<Fault> faults) {
     double worst = 0;
     long admitted = 0;
     for (long seed = firstSeed; seed < firstSeed + schedules; seed++) {
-      FakeFleet fleet = run(seed, QuotaTransition::new);
+      FakeFleet fleet = run(seed, QuotaTransition::new, faults);
       double taken = fleet.ledger.admittedOverAllowed();
       admitted += fleet.ledger.admittedRequests();
       worst = Math.max(worst, taken);
@@ -82,7 +105,9 @@
 
   /** Runs one schedule of faults under a load of several times the rate. */
   private static FakeFleet run(
-      long seed, BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
+      long seed,
+      BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions,
+      List<Fault> faults) {
     int size = 3 + (int) (seed % 4);
     FakeFleet fleet =
         new FakeFleet(
@@ -94,7 +119,7 @@
     long time = 15 * FakeFleet.SECOND;
     while (time < LENGTH) {
       time += (long) (fleet.random.nextDouble() * 20 * FakeFleet.SECOND);
-      fleet.at(time, () -> fault(fleet));
+      fleet.at(time, () -> fault(fleet, faults));
     }
     // Waves: buckets fill up while few requests come, and are emptied by many.
     double request = 0;
@@ -116,27 +141,27 @@
     return fleet.hosts.get(index);
   }
 
-  private static void fault(FakeFleet fleet) {
+  private static void fault(FakeFleet fleet, List<Fault> faults) {
     FakeHost host = fleet.hosts.get(fleet.random.nextInt(fleet.hosts.size()));
     long duration = (long) (Math.pow(fleet.random.nextDouble(), 2) * 40 * FakeFleet.SECOND);
-    switch (fleet.random.nextInt(9)) {
-      case 0 -> host.pause(duration);
-      case 1 -> host.start();
-      case 2 -> {
+    switch (faults.get(fleet.random.nextInt(faults.size()))) {
+      case PAUSE -> host.pause(duration);
+      case RESTART -> host.start();
+      case CRASH -> {
         host.stop();
         fleet.after(duration, host::start);
       }
-      case 3, 4 -> partition(fleet, duration);
-      case 5 -> {
+      case PARTITION -> partition(fleet, duration);
+      case LOSS -> {
         fleet.loss = 0.4;
         fleet.after(duration, () -> fleet.loss = 0);
       }
-      case 6 -> {
+      case DELAY -> {
         fleet.longestDelay = 4 * FakeFleet.SECOND;
         fleet.after(duration, () -> fleet.longestDelay = 3 * FakeFleet.MILLISECOND);
       }
-      case 7 -> changeList(fleet, host, duration);
-      default -> declare(fleet, duration / 4);
+      case LIST_CHANGE -> changeList(fleet, host, duration);
+      case TICKET -> declare(fleet, duration / 4);
     }
   }
 
@@ -214,7 +239,7 @@
         BiFunction<QuotaSettings, LendingPolicy, QuotaTransition> transitions) {
       List<Double> taken = new ArrayList<>();
       for (long seed = 1; seed <= FEW_SCHEDULES && taken.stream().noneMatch(t -> t > 1); seed++) {
-        taken.add(run(seed, transitions).ledger.admittedOverAllowed());
+        taken.add(run(seed, transitions, List.of(Fault.values())).ledger.admittedOverAllowed());
       }
       System.out.println("admitted over allowed with a rule left out: " + taken);
       assertFalse(taken.stream().noneMatch(share -> share > 1));
