--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/quota/QuotaFaultTests.java
@@ -161,7 +161,7 @@
         fleet.after(duration, () -> fleet.longestDelay = 3 * FakeFleet.MILLISECOND);
       }
       case LIST_CHANGE -> changeList(fleet, host, duration);
-      case TICKET -> declare(fleet, duration / 4);
+      default -> declare(fleet, duration / 4);
     }
   }
 
