--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/audit/AuditDuty.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/audit/AuditDuty.java
@@ -15,7 +15,8 @@
  * The duty that keeps the audit trail and writes each entry as an event line.
  *
  * <p>Thread-safe. A full ring refuses an event: it is counted among the refusals of the ring, a
- * warning names the ticket, and the change itself stays in force.
+ * warning names the ticket, and the change itself stays in force. Of an event with more changes
+ * than the trail keeps, only the last ones are written.
  */
 public final class AuditDuty implements AutoCloseable {
 
