--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -61,7 +62,7 @@
   private final EntrySettings settings;
   private final MonotonicClock clock;
   private final LongSupplier random;
-  private final EventLog log;
+  private final BiConsumer<String, Throwable> failures;
   private final RightsBarrier barrier;
   private final Duty<RequestState, RequestEvent, RequestEffect> requests;
   private final Duty<RepeatState, RepeatEvent, RepeatEffect> repeats;
@@ -76,11 +77,12 @@
       DutySockets sockets,
       MonotonicClock clock,
       LongSupplier random,
-      EventLog log) {
+      EventLog log,
+      BiConsumer<String, Throwable> failures) {
     this.settings = settings;
     this.clock = clock;
     this.random = random;
-    this.log = log;
+    this.failures = failures;
     MonotonicTime now = clock.now();
     Standing standing = MembershipState.initial(membership, now).standing();
     Rings rings = sockets.rings();
@@ -222,6 +224,6 @@
         ticks,
         interval,
         clock,
-        failure -> log.failure("duty_failed", failure, "duty", ring.name()));
+        failure -> failures.accept(ring.name(), failure));
   }
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryMetrics.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryMetrics.java
@@ -17,5 +17,8 @@
   static final MetricName PEER_BYTES_RECEIVED =
       MetricName.of(MetricNames.PREFIX + "peer_received_bytes_total");
 
+  /** Events whose transition or effects failed, for each duty. */
+  static final MetricName DUTY_FAILURES = MetricName.of(MetricNames.PREFIX + "duty_failures_total");
+
   private EntryMetrics() {}
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -81,6 +81,7 @@
     metrics.process();
     this.exchanges = new ExchangeRegistry(self, rings.request(), this::connectionFailed);
     this.audit = new AuditDuty(clock, log);
+    metrics.ring(audit.ring());
     this.acceptors = eventLoops(ACCEPTOR_THREADS, "acceptor");
     this.workers = eventLoops(settings.workerThreads(), "worker");
     this.upstreams =
@@ -109,7 +110,8 @@
             new DutySockets(rings, router, requestEffects, engines),
             clock,
             random,
-            log);
+            log,
+            this::dutyFailed);
     this.control =
         ControlPlane.start(
             controlSettings,
@@ -250,6 +252,11 @@
         .orElse(HEARD_FROM_NOBODY);
   }
 
+  private void dutyFailed(String duty, Throwable failure) {
+    metrics.counter(EntryMetrics.DUTY_FAILURES.with("duty", duty)).inc();
+    log.failure("duty_failed", failure, "duty", duty);
+  }
+
   private void connectionFailed(Throwable cause) {
     log.failure("connection_failed", cause);
   }
