Confirm standings by identity, not by list version

Change: each user is asked for the standing it acts on. RightsBarrierTests has the case; the version rule fails it.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/idempotency/RepeatState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/idempotency/RepeatState.java
@@ -53,9 +53,9 @@
     return views.active().isPresent() && views.isCertain(time);
   }
 
-  /** Returns the version of the host list that decisions are taken under. */
-  public long listVersion() {
-    return views.standing().version();
+  /** Returns the standing that decisions are taken under. */
+  public Standing standing() {
+    return views.standing();
   }
 
   RepeatSettings settings() {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryDuties.java
@@ -88,7 +88,10 @@
     Rings rings = sockets.rings();
     this.barrier =
         new RightsBarrier(
-            List.of(this::repeatVersion, this::schedulingVersion, this::ownershipVersion));
+            List.of(
+                () -> repeats().standing(),
+                () -> scheduling().standing(),
+                () -> ownership().standing()));
     this.requests =
         duty(
             rings.request(),
@@ -166,16 +169,16 @@
     return quota.state().hasShare(now);
   }
 
-  private long repeatVersion() {
-    return repeats.state().listVersion();
+  private RepeatState repeats() {
+    return repeats.state();
   }
 
-  private long schedulingVersion() {
-    return scheduling.state().standing().version();
+  private SchedulingState scheduling() {
+    return scheduling.state();
   }
 
-  private long ownershipVersion() {
-    return ownership.state().standing().version();
+  private OwnershipState ownership() {
+    return ownership.state();
   }
 
   private Duty<SchedulingState, SchedulingEvent, SchedulingEffect> schedulingDuty(
--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/ConfigurationReaderTests.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/configuration/ConfigurationReaderTests.java
@@ -37,7 +37,6 @@
   private static final TicketNumber NUMBER = new TicketNumber(7);
   private static final Duration ANSWER_TIMEOUT = Duration.ofMinutes(1);
   private static final Duration PATIENCE = Duration.ofMillis(300);
-  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
   private static final ServiceRead WATCH = new ServiceRead.WatchLatest(4, PATIENCE);
   private static final String WATCH_PATH =
       "/v1/watch/tickets/latest?revision=4&wait_milliseconds=300";
--- /dev/null
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/process/RightsBarrierTests.java
@@ -0,0 +1,70 @@
+package org.parsleyhead.entry.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.membership.Standing;
+
+@DisplayName("The barrier of exclusive rights")
+class RightsBarrierTests {
+
+  private static final HostName OTHER = new HostName("entry-2");
+
+  private final AtomicReference<Standing> inUse = new AtomicReference<>(standing(0));
+  private final AtomicInteger applied = new AtomicInteger();
+  private final RightsBarrier barrier = new RightsBarrier(List.of(inUse::get));
+
+  /** Returns a standing of one list version with an attestation until some time. */
+  private static Standing standing(long attestedUntil) {
+    return new Standing(
+        new HostName("entry-1"),
+        new Incarnation(1),
+        7,
+        new TreeSet<>(List.of(new HostName("entry-1"), OTHER)),
+        Map.of(OTHER, new MonotonicTime(attestedUntil)),
+        Map.of(OTHER, 7L),
+        Map.of());
+  }
+
+  @Test
+  @DisplayName("waits for every user, also while the version of the host list stays the same")
+  void waitsForUsers() {
+    Standing former = standing(1);
+    barrier.issue(former, applied::incrementAndGet);
+    inUse.set(former);
+    Standing next = standing(2);
+    long number = barrier.issue(next, applied::incrementAndGet);
+    barrier.appliedByQuota(number);
+    assertEquals(0, applied.get());
+    inUse.set(next);
+    barrier.appliedByQuota(number);
+    assertEquals(1, applied.get());
+  }
+
+  @Test
+  @DisplayName("takes a later standing of a user for an earlier one")
+  void acceptsLaterStandings() {
+    long number = barrier.issue(standing(1), applied::incrementAndGet);
+    Standing later = standing(2);
+    barrier.issue(later, () -> {});
+    inUse.set(later);
+    barrier.appliedByQuota(number);
+    assertEquals(1, applied.get());
+  }
+
+  @Test
+  @DisplayName("ignores standings that were never issued")
+  void ignoresUnknown() {
+    barrier.appliedByQuota(99);
+    assertEquals(0, applied.get());
+  }
+}
