Orders carry the instant before which they have to be written

Cause: the limit was counted from when the order was sent, so a process that slept between decision and sending would still have written it. Ruled out: a check of the right by the sender; decisions stay in the core. Change: LoadAdapter and UnloadAdapter have writeBefore, one second after the decision; the sender has to use it in place of its own limit. Conclusion: covered by the lifetime of an order, which a new owner waits out.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineEffect.java
@@ -2,6 +2,7 @@
 
 import org.parsleyhead.core.api.AdapterReference;
 import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.api.UpstreamName;
 
@@ -17,13 +18,21 @@
   /** Reads what an engine holds and runs; the answer is a report or a failed reading. */
   record ReadEngine(UpstreamName engine) implements EngineEffect {}
 
-  /** Orders an engine to load an adapter; has to be written at once or not at all. */
+  /** Orders an engine to load an adapter; has to be written before an instant or not at all. */
   record LoadAdapter(
-      UpstreamName engine, long orderNumber, AdapterReference adapter, long fencingNumber)
+      UpstreamName engine,
+      long orderNumber,
+      AdapterReference adapter,
+      long fencingNumber,
+      MonotonicTime writeBefore)
       implements EngineEffect {}
 
-  /** Orders an engine to drop an adapter; has to be written at once or not at all. */
+  /** Orders an engine to drop an adapter; has to be written before an instant or not at all. */
   record UnloadAdapter(
-      UpstreamName engine, long orderNumber, AdapterReference adapter, long fencingNumber)
+      UpstreamName engine,
+      long orderNumber,
+      AdapterReference adapter,
+      long fencingNumber,
+      MonotonicTime writeBefore)
       implements EngineEffect {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/EngineOrders.java
@@ -20,6 +20,7 @@
 final class EngineOrders {
 
   private static final Duration READING_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration WRITE_WINDOW = Duration.ofSeconds(1);
   private static final int PERMIT_REFRESHES_IN_WINDOW = 4;
 
   private final OwnershipSettings settings;
@@ -226,7 +227,8 @@
         state
             .withNextNumber(number + 1)
             .with(engine.withOrders(engine.orders().withPending(order))),
-        new EngineEffect.LoadAdapter(engine.name(), number, adapter, fencing(state, engine)));
+        new EngineEffect.LoadAdapter(
+            engine.name(), number, adapter, fencing(state, engine), time.plus(WRITE_WINDOW)));
   }
 
   private Step<OwnershipState, EngineEffect> makeRoom(
@@ -254,7 +256,8 @@
                 engine
                     .withResidency(engine.residency().without(victim, time))
                     .withOrders(engine.orders().withPending(order))),
-        new EngineEffect.UnloadAdapter(engine.name(), number, victim, fencing(state, engine)));
+        new EngineEffect.UnloadAdapter(
+            engine.name(), number, victim, fencing(state, engine), time.plus(WRITE_WINDOW)));
   }
 
   private static long fencing(OwnershipState state, OwnedEngine engine) {
