--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
@@ -34,13 +34,12 @@
 /**
  * Reads engines and sends them orders through vLLM's HTTP API.
  *
- * <p>Thread-safe. Each effect ends in exactly one event. An order that could not be written shortly
- * after it was decided is not written at all.
+ * <p>Thread-safe. Each effect ends in exactly one event. An order that could not be written before
+ * its time has passed is not written at all.
  */
 public final class EngineClient implements AutoCloseable {
 
   private static final String FENCING_HEADER = "Fencing-Number";
-  private static final Duration WRITE_LIMIT = Duration.ofMillis(1_000);
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
@@ -114,6 +113,7 @@
         "/v1/load_lora_adapter",
         body,
         effect.fencingNumber(),
+        effect.writeBefore(),
         outcome ->
             events.accept(
                 new EngineEvent.OrderEnded(effect.engine(), effect.orderNumber(), outcome)));
@@ -128,6 +128,7 @@
         "/v1/unload_lora_adapter",
         body,
         effect.fencingNumber(),
+        effect.writeBefore(),
         outcome ->
             events.accept(
                 new EngineEvent.OrderEnded(effect.engine(), effect.orderNumber(), outcome)));
@@ -192,6 +193,7 @@
       String path,
       ObjectNode body,
       long fencingNumber,
+      MonotonicTime writeBefore,
       Consumer<OrderOutcome> outcome) {
     Optional<UpstreamItem> item = engines.apply(engine);
     if (item.isEmpty()) {
@@ -204,8 +206,7 @@
             .setHeader("Content-Type", "application/json")
             .setHeader(FENCING_HEADER, Long.toString(fencingNumber))
             .setBody(body.toString());
-    client.executeRequest(
-        request.build(), new OrderHandler(clock, clock.now().plus(WRITE_LIMIT), outcome));
+    client.executeRequest(request.build(), new OrderHandler(clock, writeBefore, outcome));
   }
 
   /** Tells the outcome of one order. Called by one thread at a time. */
