--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/QuotaMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/QuotaMessageTypes.java
@@ -32,13 +32,22 @@
   public static final List<MessageType<?>> ALL =
       List.of(
           new MessageType<>(
-              60, QuotaNotice.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeNotice),
+              60,
+              QuotaNotice.class,
+              QuotaMessageTypes::encodeNotice,
+              QuotaMessageTypes::decodeNotice),
           new MessageType<>(
-              61, LoanRequest.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeRequest),
+              61,
+              LoanRequest.class,
+              QuotaMessageTypes::encodeRequest,
+              QuotaMessageTypes::decodeRequest),
           new MessageType<>(
-              62, LoanGrant.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeGrant),
+              62, LoanGrant.class, QuotaMessageTypes::encodeGrant, QuotaMessageTypes::decodeGrant),
           new MessageType<>(
-              63, LoanReturn.class, QuotaMessageTypes::encode, QuotaMessageTypes::decodeReturn));
+              63,
+              LoanReturn.class,
+              QuotaMessageTypes::encodeReturn,
+              QuotaMessageTypes::decodeReturn));
 
   /** The most cuts that one notice may name. */
   private static final int MAXIMUM_CUTS = 64;
@@ -48,7 +57,7 @@
 
   private QuotaMessageTypes() {}
 
-  private static void encode(QuotaNotice message, MessagePacker packer) throws IOException {
+  private static void encodeNotice(QuotaNotice message, MessagePacker packer) throws IOException {
     packer.packLong(message.round());
     packer.packBoolean(message.echo().isPresent());
     if (message.echo().isPresent()) {
@@ -61,7 +70,7 @@
     List<Cut> cuts = message.cuts().all();
     packer.packArrayHeader(cuts.size());
     for (Cut cut : cuts) {
-      encode(cut, packer);
+      encodeCut(cut, packer);
     }
   }
 
@@ -85,7 +94,7 @@
     return new QuotaNotice(round, echo, listVersion, entered, new CutView(base, cuts));
   }
 
-  private static void encode(Cut cut, MessagePacker packer) throws IOException {
+  private static void encodeCut(Cut cut, MessagePacker packer) throws IOException {
     packer.packLong(cut.version());
     packer.packArrayHeader(cut.members().size());
     for (HostName member : cut.members()) {
@@ -109,7 +118,7 @@
     return count;
   }
 
-  private static void encode(LoanRequest message, MessagePacker packer) throws IOException {
+  private static void encodeRequest(LoanRequest message, MessagePacker packer) throws IOException {
     packer.packLong(message.number());
     packer.packString(message.account().text());
     packer.packLong(message.parts());
@@ -117,7 +126,7 @@
     packer.packLong(message.room());
     packer.packBoolean(message.renewed().isPresent());
     if (message.renewed().isPresent()) {
-      encode(message.renewed().get(), packer);
+      encodeLoan(message.renewed().get(), packer);
     }
   }
 
@@ -131,11 +140,11 @@
         unpacker.unpackBoolean() ? Optional.of(decodeLoan(unpacker)) : Optional.empty());
   }
 
-  private static void encode(LoanGrant message, MessagePacker packer) throws IOException {
+  private static void encodeGrant(LoanGrant message, MessagePacker packer) throws IOException {
     packer.packLong(message.requestNumber());
     packer.packLong(message.borrower().value());
     packer.packString(message.account().text());
-    encode(message.loan(), packer);
+    encodeLoan(message.loan(), packer);
     packer.packLong(message.parts());
     packer.packLong(message.microtokens());
     packer.packLong(message.duration().toMillis());
@@ -152,9 +161,9 @@
         Duration.ofMillis(unpacker.unpackLong()));
   }
 
-  private static void encode(LoanReturn message, MessagePacker packer) throws IOException {
+  private static void encodeReturn(LoanReturn message, MessagePacker packer) throws IOException {
     packer.packString(message.account().text());
-    encode(message.loan(), packer);
+    encodeLoan(message.loan(), packer);
     packer.packLong(message.microtokens());
   }
 
@@ -165,7 +174,7 @@
         unpacker.unpackLong());
   }
 
-  private static void encode(LoanIdentifier loan, MessagePacker packer) throws IOException {
+  private static void encodeLoan(LoanIdentifier loan, MessagePacker packer) throws IOException {
     packer.packLong(loan.lender().value());
     packer.packLong(loan.number());
   }
