--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Fleets.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Fleets.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.parsleyhead.core.ticket.Ticket;
 
 /** Fleets of usual shapes. Stateless and thread-safe. */
 public final class Fleets {
@@ -46,11 +47,21 @@
   /** Starts stand-ins and hosts, publishes the list and the first ticket, and waits for all. */
   public static LocalFleet start(
       Path directory, StandinLayout layout, int hostCount, Map<String, String> extraSettings) {
+    return start(directory, layout, hostCount, extraSettings, SampleTickets.first(layout));
+  }
+
+  /** Starts stand-ins and hosts with a first ticket of one's own, and waits for all. */
+  public static LocalFleet start(
+      Path directory,
+      StandinLayout layout,
+      int hostCount,
+      Map<String, String> extraSettings,
+      Ticket firstTicket) {
     LocalFleet fleet =
         new LocalFleet(projectRoot(), directory, layout, hosts(hostCount), extraSettings);
     try {
       fleet.startStandins();
-      fleet.platform().publish(SampleTickets.first(layout));
+      fleet.platform().publish(firstTicket);
       fleet.platform().publishHosts(1, fleet.hosts(), List.of());
       fleet.hosts().forEach(fleet::startEntry);
       fleet.hosts().forEach(fleet::awaitReady);
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/LocalFleet.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/LocalFleet.java
@@ -78,7 +78,7 @@
     Path settings =
         write(
             host.name() + ".toml",
-            host.settings(layout.configuration(), layout.hostList(), extraSettings));
+            host.settings(layout.configurationFor(host), layout.hostList(), extraSettings));
     ProgramProcess process =
         ProgramProcess.start(root, "parsleyhead-entry", host.name(), settings, directory);
     processes.put(host.name(), process);
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Platform.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Platform.java
@@ -51,6 +51,13 @@
     put("/admin/modes/" + standin, "{\"mode\":\"" + mode + "\"}");
   }
 
+  /** Changes how a stand-in answers to a mode with a delay. */
+  public void mode(String standin, String mode, int delayMilliseconds) {
+    put(
+        "/admin/modes/" + standin,
+        "{\"mode\":\"" + mode + "\",\"delay_milliseconds\":" + delayMilliseconds + "}");
+  }
+
   /** Puts a fault in force on a proxy. */
   public void fault(String proxy, String fault) {
     put("/admin/proxies/" + proxy, fault);
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/SampleTickets.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/SampleTickets.java
@@ -108,6 +108,11 @@
         new TicketNumber(number), List.of(Change.put(new ClientAccountItem(account, rate, burst))));
   }
 
+  /** Returns a ticket that declares an upstream anew. */
+  public static Ticket upstream(long number, UpstreamItem upstream) {
+    return new Ticket(new TicketNumber(number), List.of(Change.put(upstream)));
+  }
+
   /** Returns an upstream of a layout as a ticket declares it, at another endpoint if wanted. */
   public static UpstreamItem engine(String name, String endpoint, boolean checksFencing) {
     return new UpstreamItem(
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/StandinLayout.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/StandinLayout.java
@@ -63,12 +63,33 @@
         administration, configuration, hostList, weights, engines, services, added, extra);
   }
 
+  /** Returns this layout with a fault proxy on a free port before each engine and service. */
+  public StandinLayout withProxiesBeforeUpstreams() {
+    Map<String, String> upstreams = new LinkedHashMap<>(engines);
+    upstreams.putAll(services);
+    List<String> ports = Ports.free(upstreams.size());
+    Map<String, ProxyLayout> added = new LinkedHashMap<>();
+    upstreams.forEach(
+        (name, target) -> added.put(name, new ProxyLayout(ports.get(added.size()), target)));
+    return withProxies(added);
+  }
+
   /** Returns this layout with further lines of settings. */
   public StandinLayout withExtra(String lines) {
     return new StandinLayout(
         administration, configuration, hostList, weights, engines, services, proxies, lines);
   }
 
+  /** Returns the name of the proxy between an entry host and the configuration service. */
+  public static String configurationProxy(String hostName) {
+    return "configuration-" + hostName;
+  }
+
+  /** Returns where an entry host reaches the configuration service: its own proxy, if any. */
+  String configurationFor(EntryHost host) {
+    return reachedAt(configurationProxy(host.name()), configuration);
+  }
+
   /** Returns where entry hosts reach a stand-in: its proxy, if one has its name. */
   String reachedAt(String name, String endpoint) {
     return proxies.containsKey(name) ? proxies.get(name).endpoint() : endpoint;
