Measure the processes and the cores with one program

Cause: the capacity page and most tables of MEASUREMENTS had no run behind them. Change: bin/parsleyhead-measure with the experiments overhead, policy, tickets and capacity, each printing pairs and writing a report; ProgramProcess takes arguments and environment variables, Platform can make a stand-in slow.

--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/LocalFleet.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/LocalFleet.java
@@ -75,12 +75,18 @@
 
   /** Starts an entry host and returns its process. */
   public ProgramProcess startEntry(EntryHost host) {
+    return startEntry(host, Map.of());
+  }
+
+  /** Starts an entry host with further environment variables and returns its process. */
+  public ProgramProcess startEntry(EntryHost host, Map<String, String> environment) {
     Path settings =
         write(
             host.name() + ".toml",
             host.settings(layout.configuration(), layout.hostList(), extraSettings));
     ProgramProcess process =
-        ProgramProcess.start(root, "parsleyhead-entry", host.name(), settings, directory);
+        ProgramProcess.start(
+            root, "parsleyhead-entry", host.name(), settings, directory, List.of(), environment);
     processes.put(host.name(), process);
     return process;
   }
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Platform.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/Platform.java
@@ -51,6 +51,13 @@
     put("/admin/modes/" + standin, "{\"mode\":\"" + mode + "\"}");
   }
 
+  /** Makes a stand-in slow. */
+  public void slow(String standin, int delayMilliseconds) {
+    put(
+        "/admin/modes/" + standin,
+        "{\"mode\":\"slow\",\"delay_milliseconds\":" + delayMilliseconds + "}");
+  }
+
   /** Puts a fault in force on a proxy. */
   public void fault(String proxy, String fault) {
     put("/admin/proxies/" + proxy, fault);
--- a/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/ProgramProcess.java
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/fleet/ProgramProcess.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -39,13 +40,38 @@
    */
   public static ProgramProcess start(
       Path root, String program, String name, Path settings, Path directory) {
+    return start(root, program, name, settings, directory, List.of(), Map.of());
+  }
+
+  /**
+   * Starts a program with its settings, further arguments and further environment variables.
+   *
+   * @param root the root of the project, which is built
+   * @param program the name of the program, which is that of its module
+   * @param name the name of this process, for its log
+   * @param settings its settings file
+   * @param directory where its log goes
+   * @param arguments its further arguments
+   * @param environment its further environment variables
+   * @throws FleetException if it cannot be started
+   */
+  public static ProgramProcess start(
+      Path root,
+      String program,
+      String name,
+      Path settings,
+      Path directory,
+      List<String> arguments,
+      Map<String, String> environment) {
     Path log = directory.resolve(name + ".log");
     List<String> command = new ArrayList<>();
     command.add(root.resolve("bin").resolve(program).toString());
     command.add("--settings");
     command.add(settings.toString());
+    command.addAll(arguments);
     try {
       ProcessBuilder builder = new ProcessBuilder(command);
+      builder.environment().putAll(environment);
       builder.redirectErrorStream(true);
       builder.redirectOutput(log.toFile());
       return new ProgramProcess(name, log, builder.start());
--- /dev/null
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/measure/CapacityExperiment.java
@@ -0,0 +1,43 @@
+package org.parsleyhead.integration.measure;
+
+import java.util.List;
+import java.util.function.IntFunction;
+
+/**
+ * Measures the cores alone as their state grows, without sockets.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class CapacityExperiment implements Experiment {
+
+  private static final int CELL_SIZE = 6;
+  private static final int LARGEST_CELL = 9;
+
+  @Override
+  public void run(MeasureOptions options, Report report) {
+    boolean quick = options.isQuick();
+    measure(
+        report,
+        quick ? List.of(3_000, 20_000) : List.of(3_000, 10_000, 30_000, 86_000),
+        CatalogueSlopes::measure);
+    measure(
+        report,
+        quick ? List.of(6, 60) : List.of(6, 12, 24, 60, 120, 360),
+        hosts -> MembershipSlopes.measure(hosts, CELL_SIZE));
+    measure(
+        report,
+        quick ? List.of(60) : List.of(60, 360),
+        hosts -> MembershipSlopes.measure(hosts, LARGEST_CELL));
+    measure(report, quick ? List.of(5, 500) : List.of(5, 50, 500, 5_000), QuotaSlopes::measure);
+    List<Integer> engines = quick ? List.of(12, 200) : List.of(12, 120, 200, 1_200, 12_000);
+    measure(report, engines, EngineSlopes::ownership);
+    measure(report, engines, EngineSlopes::scheduling);
+  }
+
+  /** Measures each size, after the smallest one once more to let the virtual machine compile. */
+  private static void measure(
+      Report report, List<Integer> sizes, IntFunction<Figures> measurement) {
+    measurement.apply(sizes.get(0));
+    sizes.forEach(size -> report.add(measurement.apply(size)));
+  }
+}
--- /dev/null
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/measure/EngineSlopes.java
@@ -0,0 +1,212 @@
+package org.parsleyhead.integration.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.parsleyhead.core.api.AdapterReference;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.Incarnation;
+import org.parsleyhead.core.api.ModelName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.RequestIdentifier;
+import org.parsleyhead.core.api.Sender;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.engine.EngineEffect;
+import org.parsleyhead.core.engine.EngineEvent;
+import org.parsleyhead.core.engine.EngineReport;
+import org.parsleyhead.core.engine.OwnershipSettings;
+import org.parsleyhead.core.engine.OwnershipState;
+import org.parsleyhead.core.engine.OwnershipTransition;
+import org.parsleyhead.core.engine.PinDemand;
+import org.parsleyhead.core.engine.PinGrant;
+import org.parsleyhead.core.engine.PinRequest;
+import org.parsleyhead.core.engine.VictimChoice;
+import org.parsleyhead.core.membership.Standing;
+import org.parsleyhead.core.scheduling.ModelRequest;
+import org.parsleyhead.core.scheduling.RequestOutcome;
+import org.parsleyhead.core.scheduling.SchedulingEffect;
+import org.parsleyhead.core.scheduling.SchedulingEvent;
+import org.parsleyhead.core.scheduling.SchedulingPolicy;
+import org.parsleyhead.core.scheduling.SchedulingSettings;
+import org.parsleyhead.core.scheduling.SchedulingState;
+import org.parsleyhead.core.scheduling.SchedulingTransition;
+import org.parsleyhead.core.ticket.Priority;
+import org.parsleyhead.core.ticket.UpstreamItem;
+
+/** What scheduling and ownership cost as engines grow. Stateless and thread-safe. */
+final class EngineSlopes {
+
+  private static final HostName SELF = new HostName("host-1");
+  private static final Incarnation RUN = new Incarnation(1);
+  private static final Sender OWNER = new Sender(SELF, RUN);
+  private static final ModelName BASE = new ModelName("base");
+  private static final int SLOTS = 8;
+  private static final int MAXIMUM_BATCH = 64;
+  private static final int REQUESTS = 2_000;
+  private static final int ADAPTERS = 1_000;
+  private static final int TICKS = 50;
+  private static final int ACCOUNTS = 5;
+  private static final long SEED = 1;
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+  private static final Duration BETWEEN_REQUESTS = Duration.ofMillis(1);
+  private static final Duration PIN = Duration.ofSeconds(30);
+  private static final Duration START_WITHIN = Duration.ofSeconds(20);
+
+  private EngineSlopes() {}
+
+  /** Measures the scheduler of one host that knows a number of engines. */
+  static Figures scheduling(int engines) {
+    List<UpstreamItem> upstreams = upstreams(engines);
+    SchedulingSettings settings = SchedulingSettings.defaults();
+    final long before = Cost.usedBytes();
+    Driver<SchedulingState, SchedulingEvent, SchedulingEffect> driver =
+        new Driver<>(
+            new SchedulingTransition(settings, SchedulingPolicy.adaptive(settings)),
+            SchedulingState.initial(standing(), MonotonicTime.ORIGIN),
+            MonotonicTime.ORIGIN);
+    double changed =
+        Cost.microsecondsEach(
+            1, () -> driver.apply(new SchedulingEvent.UpstreamsChanged(upstreams)));
+    final long bytes = Cost.usedBytes() - before;
+    serve(driver, REQUESTS / 4, 0);
+    double request = Cost.microsecondsEach(REQUESTS, () -> serve(driver, REQUESTS, REQUESTS));
+    double tick =
+        Cost.microsecondsEach(
+            TICKS,
+            () -> {
+              for (int count = 0; count < TICKS; count++) {
+                driver.pass(TICK_INTERVAL);
+                driver.apply(new SchedulingEvent.Tick(count));
+              }
+            });
+    return Figures.of("scheduling_by_engines")
+        .with("engines", engines)
+        .with("bytes_per_engine", (double) bytes / engines)
+        .with("upstreams_changed_microseconds", changed)
+        .with("request_microseconds", request)
+        .with("tick_microseconds", tick)
+        .with("ticks_percent_of_a_core", tick / TICK_INTERVAL.toNanos() * 1e5);
+  }
+
+  private static void serve(
+      Driver<SchedulingState, SchedulingEvent, SchedulingEffect> driver, int count, int first) {
+    Random random = new Random(SEED);
+    for (int index = 0; index < count; index++) {
+      driver.pass(BETWEEN_REQUESTS);
+      ModelRequest request = request(first + index, random.nextInt(ADAPTERS));
+      List<SchedulingEffect> effects =
+          new ArrayList<>(driver.apply(new SchedulingEvent.Submitted(request)));
+      for (int next = 0; next < effects.size(); next++) {
+        effects.addAll(answer(driver, effects.get(next)));
+      }
+    }
+  }
+
+  private static List<SchedulingEffect> answer(
+      Driver<SchedulingState, SchedulingEvent, SchedulingEffect> driver, SchedulingEffect effect) {
+    if (effect instanceof SchedulingEffect.Dispatch dispatch) {
+      return driver.apply(
+          new SchedulingEvent.Finished(
+              dispatch.request().identifier(),
+              RequestOutcome.COMPLETED,
+              dispatch.request().expectedOutputTokens()));
+    }
+    if (effect instanceof SchedulingEffect.Send send && send.message() instanceof PinRequest pin) {
+      List<AdapterReference> adapters = pin.demands().stream().map(PinDemand::adapter).toList();
+      return driver.apply(
+          new SchedulingEvent.MessageReceived(
+              OWNER, new PinGrant(pin.engine(), RUN, pin.number(), adapters, PIN)));
+    }
+    return List.of();
+  }
+
+  private static ModelRequest request(int number, int adapter) {
+    return new ModelRequest(
+        new RequestIdentifier("request-" + number),
+        BASE,
+        AdapterReference.parse("adapter-" + adapter + "@1"),
+        new ClientAccountName("account-" + number % ACCOUNTS),
+        100,
+        Priority.INTERACTIVE,
+        100,
+        100,
+        OptionalLong.empty(),
+        START_WITHIN,
+        Set.of());
+  }
+
+  /** Measures the ownership core of one host that owns a number of engines. */
+  static Figures ownership(int engines) {
+    final List<UpstreamItem> upstreams = upstreams(engines);
+    final long before = Cost.usedBytes();
+    Driver<OwnershipState, EngineEvent, EngineEffect> driver =
+        new Driver<>(
+            new OwnershipTransition(OwnershipSettings.of(4, 8), VictimChoice.leastExpectedReuse()),
+            OwnershipState.initial(standing(), MonotonicTime.ORIGIN),
+            MonotonicTime.ORIGIN);
+    final double changed =
+        Cost.microsecondsEach(1, () -> driver.apply(new EngineEvent.UpstreamsChanged(upstreams)));
+    driver.pass(Duration.ofMinutes(1));
+    driver.apply(new EngineEvent.Tick(0));
+    report(driver, upstreams);
+    final long bytes = Cost.usedBytes() - before;
+    double report = Cost.microsecondsEach(engines, () -> report(driver, upstreams));
+    int ticks = 10;
+    double tick =
+        Cost.microsecondsEach(
+            ticks,
+            () -> {
+              for (int count = 0; count < ticks; count++) {
+                driver.pass(TICK_INTERVAL);
+                driver.apply(new EngineEvent.Tick(count));
+              }
+            });
+    return Figures.of("ownership_by_engines")
+        .with("engines", engines)
+        .with("owned", driver.state().owned().size())
+        .with("bytes_per_engine", (double) bytes / engines)
+        .with("upstreams_changed_microseconds", changed)
+        .with("report_microseconds", report)
+        .with("tick_microseconds", tick)
+        .with("ticks_percent_of_a_core", tick / TICK_INTERVAL.toNanos() * 1e5);
+  }
+
+  private static void report(
+      Driver<OwnershipState, EngineEvent, EngineEffect> driver, List<UpstreamItem> upstreams) {
+    for (UpstreamItem upstream : upstreams) {
+      Set<AdapterReference> resident =
+          Set.of(AdapterReference.parse("adapter-1@1"), AdapterReference.parse("adapter-2@1"));
+      driver.apply(
+          new EngineEvent.Reported(
+              new EngineReport(upstream.name(), driver.time(), 4, 0, resident, Set.of())));
+    }
+  }
+
+  private static Standing standing() {
+    return new Standing(SELF, RUN, 1, new TreeSet<>(Set.of(SELF)), Map.of(), Map.of(), Map.of());
+  }
+
+  private static List<UpstreamItem> upstreams(int count) {
+    List<UpstreamItem> upstreams = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      upstreams.add(
+          new UpstreamItem(
+              new UpstreamName("engine-" + index),
+              Endpoint.parse("10.0.0.1:80"),
+              new FailureDomainName("domain-" + index % 30),
+              Optional.of(new UpstreamItem.Engine(BASE, SLOTS, MAXIMUM_BATCH, true)),
+              false,
+              false));
+    }
+    return upstreams;
+  }
+}
--- /dev/null
+++ b/parsleyhead-integration/src/main/java/org/parsleyhead/integration/measure/OverheadExperiment.java
@@ -0,0 +1,211 @@
+package org.parsleyhead.integration.measure;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.parsleyhead.integration.fleet.Fleets;
+import org.parsleyhead.integration.fleet.StandinLayout;
+import org.parsleyhead.load.settings.LoadSettings;
+import org.parsleyhead.load.settings.LoadSettingsReader;
+
+/**
+ * Compares one entry host with the direct path to the engines, and finds what it carries.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class OverheadExperiment implements Experiment {
+
+  private static final String MODEL = "adapter-1@1";
+  private static final int ADAPTER_SLOTS = 64;
+  private static final int MAXIMUM_BATCH = 20_000;
+  private static final int ENGINES = 2;
+  private static final double COMPARED_REQUESTS_PER_SECOND = 500;
+  private static final int COMPARED_TOKENS = 32;
+  private static final int LONG_ANSWER_TOKENS = 256;
+  private static final List<Integer> TOKEN_RATES =
+      List.of(10_000, 20_000, 40_000, 60_000, 80_000, 120_000, 160_000, 240_000);
+  private static final double CARRIED_SHARE = 0.95;
+  private static final double OPEN_STREAMS = 5_000;
+  private static final int OPEN_STREAM_TOKENS = 40;
+  private static final double OPEN_STREAM_SECONDS = 20;
+  private static final int FAST_STEP_MILLISECONDS = 5;
+  private static final int SLOW_STEP_MILLISECONDS = 500;
+  private static final String SMALL_HEAP = "-Xmx256m";
+  private static final double BYTES_PER_MEBIBYTE = 1 << 20;
+
+  @Override
+  public void run(MeasureOptions options, Report report) {
+    Path directory = MeasuredFleet.workFolder(options, "overhead");
+    LoadTool tool = new LoadTool(Fleets.projectRoot(), directory);
+    try (MeasuredFleet fleet = start(directory, FAST_STEP_MILLISECONDS)) {
+      compare(fleet, tool, options.isQuick() ? 8 : 30, report);
+      carry(fleet, tool, options.isQuick() ? 5 : 10, report);
+    }
+    try (MeasuredFleet fleet = start(directory, SLOW_STEP_MILLISECONDS)) {
+      openStreams(fleet, tool, report);
+    }
+  }
+
+  private static MeasuredFleet start(Path directory, int stepMilliseconds) {
+    String engines =
+        """
+        engines.base_model = "base"
+        engines.adapter_slots = 64
+        engines.maximum_batch = 20000
+        engines.cache_tokens = 100000000
+        engines.step_base_milliseconds = %d
+        engines.step_per_request_milliseconds = 0
+        engines.step_per_adapter_milliseconds = 0
+        engines.prefill_per_token_milliseconds = 0
+        engines.cold_steps = 0
+        engines.report_lag = "200 ms"
+        """
+            .formatted(stepMilliseconds);
+    StandinLayout layout = StandinLayout.onFreePorts(ENGINES, List.of()).withExtra(engines);
+    LoadSettings declared = LoadSettingsReader.read(settings(List.of("127.0.0.1:1"), 1, 1, 1));
+    MeasuredFleet fleet =
+        MeasuredFleet.start(
+            directory,
+            layout,
+            1,
+            1,
+            Map.of(),
+            SMALL_HEAP,
+            MeasureTickets.of(declared, layout, ADAPTER_SLOTS, MAXIMUM_BATCH));
+    layout.engines().values().forEach(endpoint -> load(fleet, endpoint));
+    return fleet;
+  }
+
+  private static void load(MeasuredFleet fleet, String engine) {
+    String order = "{\"lora_name\":\"" + MODEL + "\",\"lora_path\":\"weights/adapter-1\"}";
+    fleet.calls().call("POST", engine, "/v1/load_lora_adapter", Map.of(), order);
+  }
+
+  private static void compare(MeasuredFleet fleet, LoadTool tool, int seconds, Report report) {
+    List<String> direct = new ArrayList<>(fleet.fleet().layout().engines().values());
+    List<String> entry = List.of(fleet.hosts().get(0).callers());
+    double rate = COMPARED_REQUESTS_PER_SECOND;
+    tool.send("warm", settings(entry, rate, COMPARED_TOKENS, seconds), () -> {});
+    Figures straight =
+        measure(fleet, tool, "direct", settings(direct, rate, COMPARED_TOKENS, seconds));
+    report.add(straight);
+    Figures through =
+        measure(fleet, tool, "through", settings(entry, rate, COMPARED_TOKENS, seconds));
+    report.add(through);
+    report.add(
+        Figures.of("added_by_entry_host")
+            .with("first_token_p50_milliseconds", difference(through, straight, "p50"))
+            .with("first_token_p99_milliseconds", difference(through, straight, "p99")));
+  }
+
+  private static double difference(Figures one, Figures other, String percentile) {
+    String name = "first_token_" + percentile + "_milliseconds";
+    return one.number(name) - other.number(name);
+  }
+
+  private static void carry(MeasuredFleet fleet, LoadTool tool, int seconds, Report report) {
+    List<String> entry = List.of(fleet.hosts().get(0).callers());
+    for (int tokens : TOKEN_RATES) {
+      double rate = (double) tokens / LONG_ANSWER_TOKENS;
+      Figures figures =
+          measure(
+              fleet, tool, "offered-" + tokens, settings(entry, rate, LONG_ANSWER_TOKENS, seconds));
+      report.add(new Figures("token_rates", figures.values()));
+      boolean carried =
+          figures.number("answered") >= CARRIED_SHARE * figures.number("requests")
+              && figures.number("tokens_per_second") >= CARRIED_SHARE / 2 * tokens;
+      if (!carried) {
+        return;
+      }
+    }
+  }
+
+  private static void openStreams(MeasuredFleet fleet, LoadTool tool, Report report) {
+    List<String> entry = List.of(fleet.hosts().get(0).callers());
+    double rate = OPEN_STREAMS / OPEN_STREAM_SECONDS;
+    Figures figures =
+        measure(
+            fleet,
+            tool,
+            "open-streams",
+            settings(entry, rate, OPEN_STREAM_TOKENS, (int) (2 * OPEN_STREAM_SECONDS)));
+    report.add(new Figures("open_streams", figures.values()).with("java_options", SMALL_HEAP));
+  }
+
+  private static Figures measure(MeasuredFleet fleet, LoadTool tool, String name, String settings) {
+    List<HostSample> samples = new ArrayList<>(fleet.samples());
+    List<Figures> lines = tool.send(name, settings, () -> samples.addAll(fleet.samples()));
+    Figures group = only(lines, "group");
+    Figures total = only(lines, "total");
+    HostSample first = samples.get(0);
+    HostSample last = samples.get(samples.size() - 1);
+    double processorSeconds = last.processorSeconds() - first.processorSeconds();
+    return Figures.of("paths")
+        .with("run", name)
+        .with("requests", (long) total.number("requests"))
+        .with("answered", (long) total.number("answered"))
+        .with("refused", (long) total.number("refused"))
+        .with("failed", (long) total.number("failed"))
+        .with("wrong", (long) total.number("wrong"))
+        .with("requests_per_second", total.number("requests_per_second"))
+        .with("tokens_per_second", total.number("tokens_per_second"))
+        .with("first_token_p50_milliseconds", group.number("first_token_p50_milliseconds"))
+        .with("first_token_p99_milliseconds", group.number("first_token_p99_milliseconds"))
+        .with("between_tokens_p50_milliseconds", group.number("between_tokens_p50_milliseconds"))
+        .with("between_tokens_p99_milliseconds", group.number("between_tokens_p99_milliseconds"))
+        .with("sent_late_p99_milliseconds", group.number("sent_late_p99_milliseconds"))
+        .with("entry_processors", last.processorsSince(first))
+        .with(
+            "tokens_per_core_second",
+            total.number("tokens_per_second") * total.number("seconds") / processorSeconds)
+        .with("entry_heap_maximum_mebibytes", maximum(samples, true) / BYTES_PER_MEBIBYTE)
+        .with("entry_active_maximum", maximum(samples, false));
+  }
+
+  private static double maximum(List<HostSample> samples, boolean heap) {
+    return samples.stream()
+        .mapToDouble(sample -> heap ? sample.heapBytes() : sample.activeRequests())
+        .max()
+        .orElse(0);
+  }
+
+  private static Figures only(List<Figures> lines, String table) {
+    return lines.stream()
+        .filter(line -> line.table().equals(table))
+        .findFirst()
+        .orElse(Figures.of(table));
+  }
+
+  private static String settings(List<String> targets, double rate, int tokens, int seconds) {
+    String listed =
+        targets.stream().map(target -> '"' + target + '"').collect(Collectors.joining(", "));
+    String template =
+        """
+        seed = 1
+        duration = "%d s"
+        targets = [%s]
+        request_timeout = "90 s"
+        [adapters]
+        prefix = "adapter-"
+        count = 8
+        version = 1
+        [account.floor]
+        key = "floor-key-1"
+        tokens_per_second = 100000000
+        burst_tokens = 1000000000
+        [traffic.chat]
+        account = "floor"
+        kind = "chat"
+        path = "/v1/chat/completions"
+        model = "%s"
+        requests_per_second = %s
+        prompt_characters_minimum = 100
+        prompt_characters_maximum = 100
+        output_tokens_minimum = %d
+        output_tokens_maximum = %d
+        """;
+    return template.formatted(seconds, listed, MODEL, Double.toString(rate), tokens, tokens);
+  }
+}
