--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/EntryProcess.java
@@ -79,7 +79,9 @@
     this.rings = Rings.create(settings.requests().maximumActive());
     rings.register(metrics);
     metrics.process();
-    this.exchanges = new ExchangeRegistry(self, rings.request(), this::connectionFailed);
+    this.exchanges =
+        new ExchangeRegistry(
+            self, rings.request(), this::connectionFailed, clock, this::requestEnded);
     this.audit = new AuditDuty(clock, log);
     metrics.ring(audit.ring());
     this.acceptors = eventLoops(ACCEPTOR_THREADS, "acceptor");
@@ -94,7 +96,7 @@
     this.engines = new EngineClient(this::catalogue, clock, rings.ownership()::offer);
     PeerRouter router = new PeerRouter(self, rings, this::sendToPeer);
     RequestEffects requestEffects =
-        new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, random));
+        new RequestEffects(exchanges, upstreams, RequestWiring.ports(rings, random), metrics);
     ControlPlaneSettings controlSettings =
         ControlPlaneSettings.of(
             self,
@@ -257,6 +259,10 @@
     log.failure("duty_failed", failure, "duty", duty);
   }
 
+  private void requestEnded(Duration duration) {
+    metrics.timer(EntryMetrics.REQUEST_TIME).update(duration);
+  }
+
   private void connectionFailed(Throwable cause) {
     log.failure("connection_failed", cause);
   }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ExchangeRegistry.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/ExchangeRegistry.java
@@ -1,16 +1,19 @@
 package org.parsleyhead.entry.process;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.api.RequestIdentifier;
 import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.request.RequestEvent;
 import org.parsleyhead.entry.callers.CallerPort;
 import org.parsleyhead.entry.callers.Exchange;
+import org.parsleyhead.runtime.duty.MonotonicClock;
 import org.parsleyhead.runtime.duty.Ring;
 
 /**
@@ -25,14 +28,32 @@
   private final Sender self;
   private final Ring<RequestEvent> ring;
   private final Consumer<Throwable> failures;
-  private final Map<RequestIdentifier, Exchange> exchanges = new ConcurrentHashMap<>();
+  private final MonotonicClock clock;
+  private final Consumer<Duration> durations;
+  private final Map<RequestIdentifier, Open> exchanges = new ConcurrentHashMap<>();
   private final AtomicLong sequence = new AtomicLong();
   private volatile boolean stopping;
 
-  ExchangeRegistry(Sender self, Ring<RequestEvent> ring, Consumer<Throwable> failures) {
+  /**
+   * Creates a registry.
+   *
+   * @param self this host
+   * @param ring the ring of the request duty
+   * @param failures takes unexpected failures of connections
+   * @param clock gives the time
+   * @param durations takes the time from the receipt of each request to the end of its answer
+   */
+  ExchangeRegistry(
+      Sender self,
+      Ring<RequestEvent> ring,
+      Consumer<Throwable> failures,
+      MonotonicClock clock,
+      Consumer<Duration> durations) {
     this.self = Preconditions.requireNonNull(self, "self");
     this.ring = Preconditions.requireNonNull(ring, "ring");
     this.failures = Preconditions.requireNonNull(failures, "failures");
+    this.clock = Preconditions.requireNonNull(clock, "clock");
+    this.durations = Preconditions.requireNonNull(durations, "durations");
   }
 
   @Override
@@ -52,7 +73,7 @@
       return false;
     }
     RequestIdentifier identifier = exchange.request().description().identifier();
-    exchanges.put(identifier, exchange);
+    exchanges.put(identifier, new Open(exchange, clock.now()));
     boolean accepted = ring.offer(new RequestEvent.Received(exchange.request().description()));
     if (!accepted) {
       exchanges.remove(identifier);
@@ -62,7 +83,10 @@
 
   @Override
   public void ended(Exchange exchange) {
-    exchanges.remove(exchange.request().description().identifier());
+    Open open = exchanges.remove(exchange.request().description().identifier());
+    if (open != null) {
+      durations.accept(clock.now().since(open.received()));
+    }
   }
 
   @Override
@@ -79,7 +103,7 @@
 
   /** Returns the exchange of a request, if it is not over. */
   Optional<Exchange> find(RequestIdentifier identifier) {
-    return Optional.ofNullable(exchanges.get(identifier));
+    return Optional.ofNullable(exchanges.get(identifier)).map(Open::exchange);
   }
 
   /** Returns how many exchanges are open. */
@@ -91,4 +115,12 @@
   void stop() {
     stopping = true;
   }
+
+  /**
+   * An exchange that is not over.
+   *
+   * @param exchange the exchange
+   * @param received when its request was received
+   */
+  private record Open(Exchange exchange, MonotonicTime received) {}
 }
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/RequestEffects.java
@@ -1,10 +1,15 @@
 package org.parsleyhead.entry.process;
 
+import java.util.Locale;
 import java.util.function.Consumer;
 import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.UpstreamName;
+import org.parsleyhead.core.request.AttemptResult;
+import org.parsleyhead.core.request.Refusal;
 import org.parsleyhead.core.request.RequestEffect;
 import org.parsleyhead.entry.callers.Exchange;
 import org.parsleyhead.entry.upstream.UpstreamClient;
+import org.parsleyhead.runtime.metrics.Metrics;
 
 /**
  * Carries out the effects of requests: towards sockets at once, towards other duties through their
@@ -15,11 +20,14 @@
   private final ExchangeRegistry exchanges;
   private final UpstreamClient upstreams;
   private final RequestPorts ports;
+  private final Metrics metrics;
 
-  RequestEffects(ExchangeRegistry exchanges, UpstreamClient upstreams, RequestPorts ports) {
+  RequestEffects(
+      ExchangeRegistry exchanges, UpstreamClient upstreams, RequestPorts ports, Metrics metrics) {
     this.exchanges = Preconditions.requireNonNull(exchanges, "exchanges");
     this.upstreams = Preconditions.requireNonNull(upstreams, "upstreams");
     this.ports = Preconditions.requireNonNull(ports, "ports");
+    this.metrics = Preconditions.requireNonNull(metrics, "metrics");
   }
 
   @Override
@@ -39,13 +47,37 @@
     } else if (effect instanceof RequestEffect.SubmitPlainCall submit) {
       ports.submitPlainCall().accept(submit);
     } else if (effect instanceof RequestEffect.Withdraw withdraw) {
+      count(withdraw);
       ports.withdraw().accept(withdraw);
     } else {
       onExchange(effect);
     }
   }
 
+  private void count(RequestEffect.Withdraw withdraw) {
+    if (withdraw.result() == AttemptResult.FINISHED) {
+      String upstream = withdraw.upstream().map(UpstreamName::text).orElse("");
+      metrics.counter(EntryMetrics.ANSWERS.with("upstream", upstream)).inc();
+      metrics.counter(EntryMetrics.TOKENS).inc(withdraw.tokens());
+    } else if (withdraw.upstream().isPresent()) {
+      String result = withdraw.result().name().toLowerCase(Locale.ROOT);
+      metrics.counter(EntryMetrics.BROKEN_ATTEMPTS.with("result", result)).inc();
+    }
+  }
+
+  private void count(Refusal refusal) {
+    metrics
+        .counter(
+            EntryMetrics.REFUSALS
+                .with("code", refusal.code().text())
+                .with("outcome", refusal.outcome().text()))
+        .inc();
+  }
+
   private void onExchange(RequestEffect effect) {
+    if (effect instanceof RequestEffect.Refuse refuse) {
+      count(refuse.refusal());
+    }
     exchanges.find(effect.identifier()).ifPresent(exchange -> carryOut(effect, exchange));
     if (effect instanceof RequestEffect.CancelAttempt cancel) {
       upstreams.disconnect(cancel.identifier());
