--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/RawConnection.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/RawConnection.java
@@ -8,7 +8,7 @@
 import org.parsleyhead.integration.fleet.FleetException;
 
 /** A connection that is written to and read from byte by byte. Confined to one thread. */
-final class RawConnection {
+public final class RawConnection {
 
   private static final int READ_TIMEOUT_MILLISECONDS = 60_000;
 
@@ -20,7 +20,7 @@
   }
 
   /** Sends bytes and returns all that comes back until the other side closes or answers. */
-  static String send(String endpoint, String request) {
+  public static String send(String endpoint, String request) {
     RawConnection connection = connect(endpoint);
     connection.write(request);
     connection.awaitText("\r\n\r\n");
@@ -29,14 +29,14 @@
   }
 
   /** Starts a request and goes away after the first bytes of its answer. */
-  static void sendAndLeave(String endpoint, String path, String key, String body) {
+  public static void sendAndLeave(String endpoint, String path, String key, String body) {
     RawConnection connection = open(endpoint, path, key, body);
     connection.awaitText("data: ");
     connection.close();
   }
 
   /** Sends a request whose answer is read later. */
-  static RawConnection open(String endpoint, String path, String key, String body) {
+  public static RawConnection open(String endpoint, String path, String key, String body) {
     RawConnection connection = connect(endpoint);
     connection.write(
         "POST "
@@ -51,7 +51,7 @@
   }
 
   /** Reads until a text has come. */
-  void awaitText(String text) {
+  public void awaitText(String text) {
     while (received.indexOf(text) < 0) {
       if (!read()) {
         throw new FleetException("the connection ended before " + text + ": " + received);
@@ -60,14 +60,15 @@
   }
 
   /** Reads until the other side closes, and returns everything. */
-  String readToEnd() {
+  public String readToEnd() {
     while (read()) {
       continue;
     }
     return received.toString();
   }
 
-  void close() {
+  /** Closes the connection. */
+  public void close() {
     try {
       socket.close();
     } catch (IOException exception) {
@@ -75,7 +76,8 @@
     }
   }
 
-  private static RawConnection connect(String endpoint) {
+  /** Opens a connection and sends nothing. */
+  public static RawConnection connect(String endpoint) {
     Endpoint address = Endpoint.parse(endpoint);
     try {
       Socket socket = new Socket(address.address(), address.port());
@@ -86,7 +88,8 @@
     }
   }
 
-  private void write(String text) {
+  /** Sends bytes. */
+  public void write(String text) {
     try {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
       socket.getOutputStream().flush();
