--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Attestations.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/membership/Attestations.java
@@ -71,7 +71,8 @@
     }
     PMap<HostName, GivenAttestation> given = state.given();
     for (var entry : state.given().entrySet()) {
-      if (!time.isBefore(claimRule.freeFrom(entry.getValue().at()))) {
+      boolean dropped = state.claimableFrom().containsKey(entry.getKey());
+      if (dropped && !time.isBefore(claimRule.freeFrom(entry.getValue().at()))) {
         given = given.minus(entry.getKey());
       }
     }
@@ -156,10 +157,15 @@
                 settings.attestationDuration()));
   }
 
-  /** Notes an attestation that is being given. */
+  /** Notes an attestation that is being given; a former run of the host gets none any more. */
   RightsState note(RightsState state, Sender sender, MonotonicTime time) {
     GivenAttestation attestation = new GivenAttestation(sender.incarnation(), time);
-    return state.withGiven(state.given().plus(sender.host(), attestation));
+    GivenAttestation former = state.given().get(sender.host());
+    boolean replaced = former != null && !former.incarnation().equals(sender.incarnation());
+    RightsState noted = state.withGiven(state.given().plus(sender.host(), attestation));
+    return replaced
+        ? noted.withDeparted(noted.departed().plus(sender.host(), former.incarnation()))
+        : noted;
   }
 
   /** Takes up a change of the members: dropped ones become claimable, returned ones released. */
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/SchedulingEffects.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/process/SchedulingEffects.java
@@ -6,7 +6,9 @@
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.request.RequestEvent;
 import org.parsleyhead.core.scheduling.RefusalReason;
+import org.parsleyhead.core.scheduling.RequestOutcome;
 import org.parsleyhead.core.scheduling.SchedulingEffect;
+import org.parsleyhead.core.scheduling.SchedulingEvent;
 import org.parsleyhead.core.ticket.Catalogue;
 import org.parsleyhead.core.ticket.UpstreamItem;
 
@@ -50,7 +52,13 @@
                 dispatch.request().identifier(),
                 "the engine is no longer declared",
                 Optional.empty());
-    rings.request().offer(event);
+    if (!rings.request().offer(event)) {
+      rings
+          .scheduling()
+          .offer(
+              new SchedulingEvent.Finished(
+                  dispatch.request().identifier(), RequestOutcome.ABANDONED, 0));
+    }
   }
 
   private static String explanation(RefusalReason reason) {
--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/EngineClient.java
@@ -46,7 +46,6 @@
   private static final int IO_THREADS = 1;
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
-  private static final int FIRST_SERVER_ERROR = 500;
   private static final String FENCED_CODE = "fenced";
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -240,7 +239,7 @@
       } else if (status == STATUS_CONFLICT && response.getResponseBody().contains(FENCED_CODE)) {
         outcome.accept(OrderOutcome.FENCED);
       } else {
-        outcome.accept(status >= FIRST_SERVER_ERROR ? OrderOutcome.UNKNOWN : OrderOutcome.FAILED);
+        outcome.accept(OrderOutcome.FAILED);
       }
       return null;
     }
