--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/membership/MembershipTests.java
@@ -73,6 +73,17 @@
       assertTrue(request(2, LATER.plus(Duration.ofSeconds(6)).plus(BINDING)).isPresent());
     }
 
+    @Test
+    @DisplayName("to a former run never again, however long it was silent")
+    void refusesFormerRun() {
+      read(1, SELF, OTHER);
+      assertTrue(request(1, LATER).isPresent());
+      MonotonicTime replaced = LATER.plus(BINDING).plus(BINDING);
+      apply(new MembershipEvent.Tick(1), replaced);
+      assertTrue(request(2, replaced).isPresent());
+      assertTrue(request(1, replaced.plus(BINDING).plus(BINDING)).isEmpty());
+    }
+
     @Test
     @DisplayName("to no host that its list lacks")
     void refusesUnlisted() {
