--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/faults/ChatDriver.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/faults/ChatDriver.java
@@ -32,6 +32,7 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private final AtomicInteger whole = new AtomicInteger();
   private final Map<String, Integer> refusals = Collections.synchronizedMap(new TreeMap<>());
+  private final List<String> unanswered = Collections.synchronizedList(new ArrayList<>());
   private final List<String> problems = Collections.synchronizedList(new ArrayList<>());
   private final ExecutorService threads;
   private final HttpCalls calls = new HttpCalls();
@@ -80,6 +81,11 @@
     return new TreeMap<>(refusals);
   }
 
+  /** Returns the requests that got no answer or one that broke off, with the cause. */
+  List<String> unanswered() {
+    return List.copyOf(unanswered);
+  }
+
   /** Returns what was wrong with answers that had begun. */
   List<String> problems() {
     return List.copyOf(problems);
@@ -124,6 +130,7 @@
         refused(answer.statusCode() + " " + codeOf(answer.body()));
       }
     } catch (FleetException exception) {
+      unanswered.add(host.name() + " " + chat + ": " + exception.getCause());
       refused("none");
     }
   }
