Retry budget and rates hold over many hosts

A host without any peer in view also began with the part of the whole fleet. Cause 2: a peer's report was charged to a bucket that had not been filled up to now and capped, so an idle host offset a peer's burst with rate that the cap should have cut. Found by DispatchTransitionTests.countsPeers once time passed before it. Change 2: the bucket is brought up to date before a report is charged.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -122,7 +122,7 @@
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
     RetryBudget known = budgets.get(service);
     return known == null
-        ? RetryBudget.full(settings, peers.hostCount(), time)
+        ? RetryBudget.fresh(time)
         : known.advance(settings, peers.hostCount(), time);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
@@ -137,21 +136,24 @@
                         : view));
   }
 
-  private static DispatchState peerReported(
+  private DispatchState peerReported(
       DispatchState state, DispatchEvent.PeerReported reported, MonotonicTime time) {
     PMap<String, Allowance> allowances = state.allowances();
-    for (Map.Entry<String, Double> usage : reported.usage().entrySet()) {
-      Allowance known = allowances.get(usage.getKey());
-      if (known != null) {
+    for (AccountLimits limits : state.catalogue().accounts()) {
+      String name = limits.name().text();
+      Double total = reported.usage().get(name);
+      if (total != null && allowances.containsKey(name)) {
         allowances =
             allowances.plus(
-                usage.getKey(),
-                known
+                name,
+                allowances
+                    .get(name)
+                    .advance(limits, settings.allowanceTolerance(), time)
                     .sourcedBy(reported.host(), reported.sums())
                     .report(
                         source(reported.host(), reported.sums()),
                         reported.incarnation(),
-                        usage.getValue(),
+                        total,
                         time));
       }
     }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -49,11 +49,15 @@
   private MonotonicTime now = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
   private long lastKey;
 
-  /** Returns a fixture with a catalogue and two instances of each service. */
+  /** Returns a fixture with a catalogue, two instances of each service and retries to spend. */
   static DispatchFixture running() {
     DispatchFixture fixture = new DispatchFixture();
     fixture.apply(new DispatchEvent.CatalogueChanged(catalogue(1, 10_000)));
     fixture.announce(plain("p1"), plain("p2"), engine("e1"), engine("e2"));
+    for (String service : List.of("plain", "engine")) {
+      fixture.state = fixture.state.withBudget(service, RetryBudget.fresh(fixture.now));
+    }
+    fixture.advance(SETTINGS.retryWindow());
     return fixture;
   }
 
