Dispatch knows which servers have an owner; leaving owners free their votes

A host that had left was taken for alive again by its answers to heartbeats, so its servers found no new owner until it was gone. Change: the fleet tells dispatch which servers have an owner; a load is asked only there; without any, a request waits while its patience lasts, or its caller is told when owners are expected. A leaving host stops giving orders at once, its votes are free after the gap, and its answers do not bring it back into use. Retry budgets exist from the first catalogue. Tests first: loadsWhereOwned, waitsForOwner, refusesUntilOwnersAreThere, replaceLeaving.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Conclusions.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Conclusions.java
@@ -21,6 +21,16 @@
   /** Ends a request that cannot be sent again: with what is held, or with a true refusal. */
   static Step<DispatchState, DispatchEffect> giveUp(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
+    return giveUp(state, active, code, RETURN_DELAY, time);
+  }
+
+  /** Ends a request that cannot be sent again; its caller is told when to come back. */
+  static Step<DispatchState, DispatchEffect> giveUp(
+      DispatchState state,
+      ActiveRequest active,
+      DispatchRefusal.Code code,
+      Duration returnIn,
+      MonotonicTime time) {
     boolean mayHaveRun = active.progress().possibleRuns() > 0;
     DispatchState next = release(state, active, !mayHaveRun);
     if (active.progress().begun()) {
@@ -32,7 +42,7 @@
                 code == DispatchRefusal.Code.TIMED_OUT
                     ? code
                     : DispatchRefusal.Code.UPSTREAM_FAILED)
-            : DispatchRefusal.after(code, RETURN_DELAY);
+            : DispatchRefusal.after(code, returnIn);
     return Step.of(
         next, new DispatchEffect.Refuse(active.request(), refusal, inputs(active, time)));
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
@@ -66,6 +67,14 @@
   /** The hosts that are alive, this one included. */
   record PeersCounted(List<String> hosts, int known) implements DispatchEvent {}
 
+  /**
+   * The hosts that give orders to instances have changed.
+   *
+   * @param instances the instances that some live host gives orders to
+   * @param othersIn when orders to the others are possible at the earliest
+   */
+  record OwnersKnown(Set<String> instances, Duration othersIn) implements DispatchEvent {}
+
   /** This process stops soon; what would not end in time is not taken up any more. */
   record Stopping(StopStage stage) implements DispatchEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -21,6 +21,7 @@
  * @param budgets the repeated sends that are left for each service
  * @param peers what the other hosts reported
  * @param stopping how near the end of this process is
+ * @param ownersAt when orders to instances without an owner are possible at the earliest
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -29,7 +30,8 @@
     PMap<String, Allowance> allowances,
     PMap<String, RetryBudget> budgets,
     PeerTable peers,
-    StopStage stopping) {
+    StopStage stopping,
+    MonotonicTime ownersAt) {
 
   /** Returns the state of a host that knows nothing yet. */
   public static DispatchState initial() {
@@ -40,7 +42,8 @@
         HashTreePMap.empty(),
         HashTreePMap.empty(),
         PeerTable.EMPTY,
-        StopStage.RUNNING);
+        StopStage.RUNNING,
+        MonotonicTime.ORIGIN);
   }
 
   /** Returns the number of requests that have not ended. */
@@ -83,11 +86,11 @@
   }
 
   DispatchState withCatalogue(ServiceCatalogue next) {
-    return new DispatchState(next, instances, requests, allowances, budgets, peers, stopping);
+    return new DispatchState(next, instances, requests, allowances, budgets, peers, stopping, ownersAt);
   }
 
   DispatchState withInstances(InstanceTable next) {
-    return new DispatchState(catalogue, next, requests, allowances, budgets, peers, stopping);
+    return new DispatchState(catalogue, next, requests, allowances, budgets, peers, stopping, ownersAt);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -103,20 +106,29 @@
   }
 
   DispatchState withAllowances(PMap<String, Allowance> next) {
-    return new DispatchState(catalogue, instances, requests, next, budgets, peers, stopping);
+    return new DispatchState(catalogue, instances, requests, next, budgets, peers, stopping, ownersAt);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
+    return withBudgets(budgets.plus(service, budget));
+  }
+
+  DispatchState withBudgets(PMap<String, RetryBudget> next) {
+    return new DispatchState(
+        catalogue, instances, requests, allowances, next, peers, stopping, ownersAt);
+  }
+
+  DispatchState withOwnersAt(MonotonicTime time) {
     return new DispatchState(
-        catalogue, instances, requests, allowances, budgets.plus(service, budget), peers, stopping);
+        catalogue, instances, requests, allowances, budgets, peers, stopping, time);
   }
 
   DispatchState withPeers(PeerTable next) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, next, stopping);
+    return new DispatchState(catalogue, instances, requests, allowances, budgets, next, stopping, ownersAt);
   }
 
   DispatchState withStopping(StopStage stage) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, peers, stage);
+    return new DispatchState(catalogue, instances, requests, allowances, budgets, peers, stage, ownersAt);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -127,6 +139,6 @@
   }
 
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
-    return new DispatchState(catalogue, instances, next, allowances, budgets, peers, stopping);
+    return new DispatchState(catalogue, instances, next, allowances, budgets, peers, stopping, ownersAt);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -12,6 +12,7 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
+import org.parsleyhead.core.serving.ServiceDefinition;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -86,6 +87,11 @@
     if (event instanceof DispatchEvent.PeersCounted counted) {
       return peersCounted(state, counted);
     }
+    if (event instanceof DispatchEvent.OwnersKnown known) {
+      return state
+          .withInstances(state.instances().withOwned(known.instances()))
+          .withOwnersAt(time.plus(known.othersIn()));
+    }
     return event instanceof DispatchEvent.Stopping stopping
         ? state.withStopping(stopping.stage())
         : tick(state, time);
@@ -106,7 +112,12 @@
                 name, known == null ? Allowance.fresh(limits, time) : known.under(limits));
       }
     }
-    return state.withCatalogue(catalogue).withAllowances(allowances);
+    PMap<String, RetryBudget> budgets = HashTreePMap.empty();
+    for (ServiceDefinition service : catalogue.services()) {
+      RetryBudget known = state.budgets().get(service.name());
+      budgets = budgets.plus(service.name(), known == null ? RetryBudget.fresh(time) : known);
+    }
+    return state.withCatalogue(catalogue).withAllowances(allowances).withBudgets(budgets);
   }
 
   private static DispatchState instancesAnnounced(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.UnaryOperator;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -13,11 +14,20 @@
  *
  * @param byIdentifier all instances
  * @param byService the instances of each service
+ * @param owned the identifiers of those that some live host gives orders to
  */
 record InstanceTable(
-    PMap<String, InstanceView> byIdentifier, PMap<String, PMap<String, InstanceView>> byService) {
+    PMap<String, InstanceView> byIdentifier,
+    PMap<String, PMap<String, InstanceView>> byService,
+    Set<String> owned) {
 
-  static final InstanceTable EMPTY = new InstanceTable(HashTreePMap.empty(), HashTreePMap.empty());
+  static final InstanceTable EMPTY =
+      new InstanceTable(HashTreePMap.empty(), HashTreePMap.empty(), Set.of());
+
+  /** Copies the identifiers. */
+  InstanceTable {
+    owned = Set.copyOf(owned);
+  }
 
   Optional<InstanceView> find(String identifier) {
     return Optional.ofNullable(byIdentifier.get(identifier));
@@ -31,7 +41,19 @@
     return byService.getOrDefault(service, HashTreePMap.empty()).values();
   }
 
-  InstanceTable with(InstanceView view) {
+  /** Returns this table after the hosts that give orders have changed. */
+  InstanceTable withOwned(Set<String> instances) {
+    InstanceTable next = new InstanceTable(byIdentifier, byService, instances);
+    for (InstanceView view : byIdentifier.values()) {
+      if (view.owned() != instances.contains(view.identifier())) {
+        next = next.with(view);
+      }
+    }
+    return next;
+  }
+
+  InstanceTable with(InstanceView changed) {
+    InstanceView view = changed.withOwned(owned.contains(changed.identifier()));
     InstanceTable base = this;
     InstanceView former = byIdentifier.get(view.identifier());
     if (former != null && !former.instance().service().equals(view.instance().service())) {
@@ -41,7 +63,8 @@
     PMap<String, InstanceView> group = base.byService.getOrDefault(service, HashTreePMap.empty());
     return new InstanceTable(
         base.byIdentifier.plus(view.identifier(), view),
-        base.byService.plus(service, group.plus(view.identifier(), view)));
+        base.byService.plus(service, group.plus(view.identifier(), view)),
+        owned);
   }
 
   InstanceTable without(String identifier) {
@@ -51,7 +74,8 @@
     }
     String service = former.instance().service();
     PMap<String, InstanceView> group = byService.get(service).minus(identifier);
-    return new InstanceTable(byIdentifier.minus(identifier), byService.plus(service, group));
+    return new InstanceTable(
+        byIdentifier.minus(identifier), byService.plus(service, group), owned);
   }
 
   InstanceTable change(String identifier, UnaryOperator<InstanceView> change) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
@@ -16,6 +16,7 @@
  * @param health what this host has seen of its answers
  * @param adapters the adapters that it holds
  * @param prompts the prompts that it keeps
+ * @param owned whether some live host gives it orders
  */
 record InstanceView(
     Instance instance,
@@ -24,7 +25,8 @@
     SentLoad peers,
     InstanceHealth health,
     HeldAdapters adapters,
-    PromptMemory prompts) {
+    PromptMemory prompts,
+    boolean owned) {
 
   static InstanceView fresh(Instance instance, MonotonicTime time) {
     return new InstanceView(
@@ -34,7 +36,8 @@
         SentLoad.NONE,
         InstanceHealth.sound(time),
         HeldAdapters.announced(instance, time),
-        PromptMemory.EMPTY);
+        PromptMemory.EMPTY,
+        false);
   }
 
   String identifier() {
@@ -61,30 +64,36 @@
     }
     Instance next = instance.draining() ? announced.asDraining() : announced;
     return new InstanceView(
-        next, Optional.empty(), own, peers, health, adapters.announce(announced, time), prompts);
+        next, Optional.empty(), own, peers, health, adapters.announce(announced, time), prompts, owned);
   }
 
   InstanceView withRemovedAt(MonotonicTime time) {
-    return new InstanceView(instance, Optional.of(time), own, peers, health, adapters, prompts);
+    return new InstanceView(instance, Optional.of(time), own, peers, health, adapters, prompts, owned);
   }
 
   InstanceView withOwn(SentLoad load) {
-    return new InstanceView(instance, removedAt, load, peers, health, adapters, prompts);
+    return new InstanceView(instance, removedAt, load, peers, health, adapters, prompts, owned);
   }
 
   InstanceView withPeers(SentLoad load) {
-    return new InstanceView(instance, removedAt, own, load, health, adapters, prompts);
+    return new InstanceView(instance, removedAt, own, load, health, adapters, prompts, owned);
   }
 
   InstanceView withHealth(InstanceHealth next) {
-    return new InstanceView(instance, removedAt, own, peers, next, adapters, prompts);
+    return new InstanceView(instance, removedAt, own, peers, next, adapters, prompts, owned);
   }
 
   InstanceView withAdapters(HeldAdapters next) {
-    return new InstanceView(instance, removedAt, own, peers, health, next, prompts);
+    return new InstanceView(instance, removedAt, own, peers, health, next, prompts, owned);
+  }
+
+  InstanceView withOwned(boolean next) {
+    return next == owned
+        ? this
+        : new InstanceView(instance, removedAt, own, peers, health, adapters, prompts, next);
   }
 
   InstanceView withPrompts(PromptMemory next) {
-    return new InstanceView(instance, removedAt, own, peers, health, adapters, next);
+    return new InstanceView(instance, removedAt, own, peers, health, adapters, next, owned);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -103,7 +103,8 @@
         cost += hash(request, view) == placement.preferred() ? 0 : NOT_PREFERRED_MILLISECONDS;
         cost += placement.atHand() ? SECOND_COPY_MILLISECONDS : 0;
       }
-      cost += time.isBefore(view.adapters().loadsRefusedUntil()) ? LOADS_REFUSED_MILLISECONDS : 0;
+      boolean refused = time.isBefore(view.adapters().loadsRefusedUntil());
+      cost += refused || !view.owned() ? LOADS_REFUSED_MILLISECONDS : 0;
     }
     int beyond = view.load().running() - engine.slots() + 1;
     if (beyond > 0) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
@@ -35,8 +35,17 @@
   /** How long a request waits before it asks again for loads: slots free up with each answer. */
   private static final Duration SLOT_DELAY = Duration.ofMillis(150);
 
-  /** A request waits for a slot for one part in this many of its latency target. */
-  private static final int WAITING_DIVISOR = 2;
+  /** How long a request waits before it looks again for a server with an owner. */
+  private static final Duration OWNER_DELAY = Duration.ofMillis(100);
+
+  /**
+   * Part of the latency target for which a request waits for a load before its caller is asked to
+   * come back: answers that begin later than the target are worth a third.
+   */
+  private static final double PATIENCE_FACTOR = 0.5;
+
+  /** Part of its time for which a request waits for a load; later it could not end in time. */
+  private static final double PATIENCE_PART = 0.4;
 
   /** Most sends of one request; those that surely did not run included. */
   private static final int MOST_SENDS = 4;
@@ -74,7 +83,10 @@
     return switch (chosen.get().load()) {
       case NONE -> send(state, active, chosen.get(), time);
       case COMING -> awaitArrival(state, active, view, time);
-      case ORDER -> askLoad(state, active, view, time);
+      case ORDER ->
+          view.owned()
+              ? askLoad(state, active, view, time)
+              : awaitOwner(state, active, time);
     };
   }
 
@@ -207,9 +219,7 @@
   private Step<DispatchState, DispatchEffect> askLoad(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     if (active.progress().loadRequests() >= MOST_LOAD_REQUESTS) {
-      Duration elapsed = time.since(active.receivedAt());
-      Duration longest = active.route().latencyTarget().dividedBy(WAITING_DIVISOR);
-      return elapsed.compareTo(longest) > 0
+      return time.since(active.receivedAt()).compareTo(patience(active)) > 0
           ? Conclusions.giveUp(state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, time)
           : state(
               state,
@@ -224,6 +234,24 @@
         .andThen(before -> state(before, loading, LOAD_ANSWER_TIMEOUT));
   }
 
+  /** Waits for a host that may order a load; asks the caller to come back if none is in time. */
+  private static Step<DispatchState, DispatchEffect> awaitOwner(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    Duration ownersIn = state.ownersAt().since(time);
+    Duration least = ownersIn.compareTo(OWNER_DELAY) < 0 ? OWNER_DELAY : ownersIn;
+    Duration elapsed = time.since(active.receivedAt());
+    return elapsed.plus(least).compareTo(patience(active)) > 0
+        ? Conclusions.giveUp(
+            state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, least, time)
+        : state(state, active.with(active.progress().waiting(time)), OWNER_DELAY);
+  }
+
+  private static Duration patience(ActiveRequest active) {
+    double target = active.route().latencyTarget().toMillis() * PATIENCE_FACTOR;
+    double part = active.deadline().since(active.receivedAt()).toMillis() * PATIENCE_PART;
+    return Duration.ofMillis((long) Math.min(target, part));
+  }
+
   private Step<DispatchState, DispatchEffect> awaitArrival(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     AdapterKey adapter = active.request().work().orElseThrow().adapter();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineDesk.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineDesk.java
@@ -11,6 +11,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.EngineProfile;
+import org.pcollections.HashTreePMap;
 import org.pcollections.TreePVector;
 
 /**
@@ -130,6 +131,17 @@
         state, failed.instance(), engine.doubtful(time.plus(settings.reportLag())), "no_report");
   }
 
+  /** Stops giving orders for good, as this process is about to stop. */
+  Step<FleetState, FleetEffect> giveUpAll(FleetState state) {
+    Step<FleetState, FleetEffect> step = Step.of(state);
+    for (Map.Entry<String, OwnedEngine> engine : state.engines().entrySet()) {
+      step =
+          step.andThen(next -> refuseAll(next, engine.getKey(), engine.getValue(), "owner_leaves"));
+    }
+    return step.andThen(
+        next -> Step.of(next.withEngines(HashTreePMap.empty()).withLeases(HashTreePMap.empty())));
+  }
+
   /** Asks for reports that are due, ends waits that are over and goes on with what can go on. */
   Step<FleetState, FleetEffect> tick(FleetState state, MonotonicTime time) {
     Step<FleetState, FleetEffect> step = Step.of(state);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.instance.AdapterKey;
@@ -61,6 +62,14 @@
   record PeerFigures(String host, long incarnation, Heartbeat heartbeat, boolean counted)
       implements FleetEffect {}
 
+  /**
+   * Which instances some live host gives orders to.
+   *
+   * @param instances these instances
+   * @param othersIn when orders to the others are possible at the earliest
+   */
+  record OwnersKnown(Set<String> instances, Duration othersIn) implements FleetEffect {}
+
   /** The live hosts have changed. */
   record HostsChanged(List<String> live, int known) implements FleetEffect {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -1,8 +1,10 @@
 package org.parsleyhead.core.fleet;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.EngineProfile;
@@ -107,6 +109,17 @@
         .findFirst();
   }
 
+  /** Returns the instances that this host or another live one gives orders to. */
+  Set<String> ownedByAny() {
+    Set<String> owned = new HashSet<>(engines.keySet());
+    for (HostView host : hosts.values()) {
+      if (host.alive()) {
+        owned.addAll(host.held());
+      }
+    }
+    return owned;
+  }
+
   FleetState withClocks(Clocks next) {
     return new FleetState(next, hubs, hosts, figures, votes, leases, engines, instances, catalogue);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -66,6 +66,9 @@
     if (event instanceof FleetEvent.Tick tick) {
       return tick(state, tick, time);
     }
+    if (event instanceof FleetEvent.Leaving) {
+      return desk.giveUpAll(state.withClocks(state.clocks().leave()));
+    }
     return Step.of(learn(state, event, time));
   }
 
@@ -89,7 +92,7 @@
           ? state.withCatalogue(changed.catalogue())
           : state;
     }
-    return state.withClocks(state.clocks().leave());
+    return state;
   }
 
   private static FleetState announced(FleetState state, Instance instance, MonotonicTime time) {
@@ -108,7 +111,7 @@
       FleetState state, FleetEvent.HeartbeatReceived received, MonotonicTime time) {
     Heartbeat heartbeat = received.heartbeat();
     if (heartbeat.leaving()) {
-      return left(state, heartbeat.endpoint());
+      return left(state, heartbeat.endpoint(), received.incarnation(), time);
     }
     HostView known =
         state
@@ -180,7 +183,14 @@
     return silentHosts(ticked.withHubs(Hubs.of(ticked, settings)), time)
         .andThen(next -> leases.settle(ownVotes(next, time), time))
         .andThen(next -> desk.tick(withOwnUse(next, tick, time), time))
-        .andThen(next -> heartbeats.send(next, tick, time));
+        .andThen(next -> heartbeats.send(next, tick, time))
+        .andThen(next -> Step.of(next, ownersKnown(next, time)));
+  }
+
+  private static FleetEffect ownersKnown(FleetState state, MonotonicTime time) {
+    Duration votesIn = state.clocks().votesFrom().since(time);
+    return new FleetEffect.OwnersKnown(
+        state.ownedByAny(), votesIn.isNegative() ? Duration.ZERO : votesIn);
   }
 
   private FleetState ownVotes(FleetState state, MonotonicTime time) {
@@ -227,12 +237,17 @@
         : settings.silenceLimit().multipliedBy(INDIRECT_SILENCE_FACTOR);
   }
 
-  private Step<FleetState, FleetEffect> left(FleetState state, String endpoint) {
-    if (!state.hosts().containsKey(endpoint)) {
+  private Step<FleetState, FleetEffect> left(
+      FleetState state, String endpoint, long incarnation, MonotonicTime time) {
+    HostView known = state.hosts().get(endpoint);
+    if (known == null) {
       return Step.of(state);
     }
-    FleetState next = state.withHost(state.hosts().get(endpoint).silent());
-    return new Step<>(next, List.of(note("host_leaving", endpoint), hostsChanged(next)));
+    FleetState next =
+        leases.released(state.withHost(known.left(incarnation, time)), endpoint, time);
+    return known.alive()
+        ? new Step<>(next, List.of(note("host_leaving", endpoint), hostsChanged(next)))
+        : Step.of(next);
   }
 
   private Step<FleetState, FleetEffect> loadAsked(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Rendezvous;
@@ -64,6 +65,18 @@
     return new Step<>(state.withVotes(votes), given);
   }
 
+  /** Frees the votes for a host that has stopped to give orders, once the gap has passed. */
+  FleetState released(FleetState state, String holder, MonotonicTime time) {
+    MonotonicTime free = time.plus(settings.leaseGap());
+    PMap<String, Vote> votes = state.votes();
+    for (Map.Entry<String, Vote> vote : state.votes().entrySet()) {
+      if (vote.getValue().holder().equals(holder) && free.isBefore(vote.getValue().boundUntil())) {
+        votes = votes.plus(vote.getKey(), new Vote(holder, free));
+      }
+    }
+    return state.withVotes(votes);
+  }
+
   /** Counts votes for claims that were sent at an instant. */
   FleetState count(FleetState state, String voter, List<String> instances, MonotonicTime sentAt) {
     MonotonicTime countsUntil = sentAt.plus(settings.lease()).minus(DRIFT_MARGIN);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/serving/ServiceCatalogue.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/serving/ServiceCatalogue.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.serving;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -94,6 +95,11 @@
     return Optional.ofNullable(accountsByKey.get(key));
   }
 
+  /** Returns all services. */
+  public Collection<ServiceDefinition> services() {
+    return services.values();
+  }
+
   /** Returns a service by its name. */
   public Optional<ServiceDefinition> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -58,6 +58,7 @@
       fixture.state = fixture.state.withBudget(service, RetryBudget.fresh(fixture.now));
     }
     fixture.advance(SETTINGS.retryWindow());
+    fixture.apply(new DispatchEvent.OwnersKnown(Set.of("e1", "e2"), Duration.ZERO));
     return fixture;
   }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -265,6 +265,50 @@
       assertNotEquals(ask.instance(), second.instance());
     }
 
+    @Test
+    @DisplayName("load an adapter at a server that some host gives orders to")
+    void loadsWhereOwned() {
+      for (String owned : List.of("e1", "e2")) {
+        host.apply(new DispatchEvent.OwnersKnown(Set.of(owned), Duration.ZERO));
+        DispatchEffect.AskLoad ask =
+            only(host.receive("/chat/x", work(ELSEWHERE)), DispatchEffect.AskLoad.class);
+        assertEquals(owned, ask.instance());
+      }
+    }
+
+    @Test
+    @DisplayName("wait for a host that gives orders, and ask it for the load")
+    void waitsForOwner() {
+      host.apply(new DispatchEvent.OwnersKnown(Set.of(), Duration.ZERO));
+      DispatchEffect.WakeAfter wake =
+          only(host.receive("/chat/x", work(ELSEWHERE)), DispatchEffect.WakeAfter.class);
+      host.advance(wake.delay());
+      host.apply(new DispatchEvent.OwnersKnown(Set.of("e2"), Duration.ZERO));
+      DispatchEffect.AskLoad ask =
+          only(
+              host.apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber())),
+              DispatchEffect.AskLoad.class);
+      assertEquals("e2", ask.instance());
+    }
+
+    @Test
+    @DisplayName("tell at once when to come back if no host gives orders in time")
+    void refusesUntilOwnersAreThere() {
+      Duration othersIn = Duration.ofSeconds(4);
+      host.apply(new DispatchEvent.OwnersKnown(Set.of(), othersIn));
+      DispatchRefusal refusal =
+          only(host.receive("/chat/x", work(ELSEWHERE)), DispatchEffect.Refuse.class).refusal();
+      assertEquals(DispatchRefusal.Code.ADAPTER_UNAVAILABLE, refusal.code());
+      assertEquals(othersIn, refusal.retryAfter().orElseThrow());
+    }
+
+    @Test
+    @DisplayName("serve adapters that are there while no host gives orders")
+    void servesResidentAdapters() {
+      host.apply(new DispatchEvent.OwnersKnown(Set.of(), Duration.ofSeconds(4)));
+      host.send("/chat/x", work(DispatchFixture.ADAPTER));
+    }
+
     @Test
     @DisplayName("wait a little longer for an adapter that is late, and ask for no second load")
     void waitsForLateAdapter() {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
@@ -70,6 +70,11 @@
     hosts.get(name).running = false;
   }
 
+  /** Tells a host that its process is about to stop. */
+  void leave(String name) {
+    hosts.get(name).apply(new FleetEvent.Leaving());
+  }
+
   void start(String name, boolean first) {
     Host host = new Host(name, first);
     hosts.put(name, host);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
@@ -67,6 +67,18 @@
     assertOrderly(fleet, "two deaths");
   }
 
+  @Test
+  @DisplayName("replace an owner that leaves as soon as the gap between two owners has passed")
+  void replaceLeaving() {
+    FakeFleet fleet = new FakeFleet(11, 6, 0);
+    fleet.run(Duration.ofSeconds(8));
+    fleet.leave(fleet.names().get(0));
+    fleet.leave(fleet.names().get(1));
+    fleet.run(FakeFleet.LEASE_GAP.plus(Duration.ofMillis(1_200)));
+    assertTrue(fleet.allOwned());
+    assertOrderly(fleet, "two leave");
+  }
+
   @Test
   @DisplayName("find owners again after all were restarted")
   void recoverTogether() {
@@ -108,8 +120,12 @@
     for (int fault = 0; fault < 30; fault++) {
       List<String> names = fleet.names();
       String name = names.get(random.nextInt(names.size()));
-      switch (random.nextInt(5)) {
-        case 0 -> {
+      switch (random.nextInt(6)) {
+        case 0, 5 -> {
+          if (random.nextBoolean()) {
+            fleet.leave(name);
+            fleet.run(Duration.ofMillis(random.nextInt(3_000)));
+          }
           fleet.kill(name);
           fleet.run(Duration.ofMillis(random.nextInt(3_000)));
           fleet.start(name, false);
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffects.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffects.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.gateway.process;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.parsleyhead.core.dispatch.DispatchEvent;
 import org.parsleyhead.core.fleet.FleetEffect;
@@ -15,7 +16,7 @@
 /**
  * Carries out what the decisions of the fleet ask for.
  *
- * <p>Immutable and thread-safe. The right to give an order is checked once more right before the
+ * <p>Confined to the fleet duty. The right to give an order is checked once more right before the
  * order is written.
  */
 final class FleetEffects implements Consumer<FleetEffect> {
@@ -30,6 +31,7 @@
   private final Ring<PublicationEvent> publication;
   private final MonotonicClock clock;
   private final GatewayMetrics metrics;
+  private Set<String> owned = Set.of("");
 
   FleetEffects(
       PeerSockets peers,
@@ -91,6 +93,8 @@
       }
       publication.offer(
           new PublicationEvent.PeerRevision(figures.host(), figures.heartbeat().revision()));
+    } else if (effect instanceof FleetEffect.OwnersKnown known) {
+      ownersKnown(known);
     } else if (effect instanceof FleetEffect.HostsChanged changed) {
       dispatch.offer(new DispatchEvent.PeersCounted(List.copyOf(changed.live()), changed.known()));
     } else if (effect instanceof FleetEffect.ReaderRole role) {
@@ -100,6 +104,14 @@
     }
   }
 
+  private void ownersKnown(FleetEffect.OwnersKnown known) {
+    boolean changed = !known.instances().equals(owned);
+    if (changed
+        && dispatch.offer(new DispatchEvent.OwnersKnown(known.instances(), known.othersIn()))) {
+      owned = known.instances();
+    }
+  }
+
   private void order(FleetEffect.SendOrder order) {
     boolean inTime = clock.now().isBefore(order.writeBefore());
     LOG.request(
