Declared versions of adapters are followed

Cause: versions that operators declare were only logged; a server that held an older one went on being used. Change: dispatch uses no copy older than the declared version and names the version with each send, so that a server with another one refuses without running; owners load the declared version, also in place of an older copy, which needs no slot. What the platform published is one part of the fleet's state now.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -20,6 +20,7 @@
    * @param account the client account that the instance is told
    * @param stream whether the answer is a stream
    * @param repeatable whether it may be sent again after it may have run
+   * @param adapterVersion the declared version of the adapter; 0 if none was declared
    * @param inputs what decided the choice, for the log
    */
   record Send(
@@ -31,6 +32,7 @@
       Optional<ClientAccountName> account,
       boolean stream,
       boolean repeatable,
+      long adapterVersion,
       String inputs)
       implements DispatchEffect {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -75,6 +75,9 @@
    */
   record OwnersKnown(Set<String> instances, Duration othersIn) implements DispatchEvent {}
 
+  /** The operators have declared a version of an adapter. */
+  record VersionDeclared(AdapterKey adapter, long version) implements DispatchEvent {}
+
   /** This process stops soon; what would not end in time is not taken up any more. */
   record Stopping(StopStage stage) implements DispatchEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -21,6 +22,7 @@
  * @param budgets the repeated sends that are left for each service
  * @param peers what the other hosts reported
  * @param stopping how near the end of this process is
+ * @param versions the newest declared versions of the adapters
  * @param ownersAt when orders to instances without an owner are possible at the earliest
  */
 public record DispatchState(
@@ -31,6 +33,7 @@
     PMap<String, RetryBudget> budgets,
     PeerTable peers,
     StopStage stopping,
+    AdapterVersions versions,
     MonotonicTime ownersAt) {
 
   /** Returns the state of a host that knows nothing yet. */
@@ -43,6 +46,7 @@
         HashTreePMap.empty(),
         PeerTable.EMPTY,
         StopStage.RUNNING,
+        AdapterVersions.NONE,
         MonotonicTime.ORIGIN);
   }
 
@@ -86,11 +90,11 @@
   }
 
   DispatchState withCatalogue(ServiceCatalogue next) {
-    return new DispatchState(next, instances, requests, allowances, budgets, peers, stopping, ownersAt);
+    return new DispatchState(next, instances, requests, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withInstances(InstanceTable next) {
-    return new DispatchState(catalogue, next, requests, allowances, budgets, peers, stopping, ownersAt);
+    return new DispatchState(catalogue, next, requests, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -106,7 +110,7 @@
   }
 
   DispatchState withAllowances(PMap<String, Allowance> next) {
-    return new DispatchState(catalogue, instances, requests, next, budgets, peers, stopping, ownersAt);
+    return new DispatchState(catalogue, instances, requests, next, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -115,20 +119,25 @@
 
   DispatchState withBudgets(PMap<String, RetryBudget> next) {
     return new DispatchState(
-        catalogue, instances, requests, allowances, next, peers, stopping, ownersAt);
+        catalogue, instances, requests, allowances, next, peers, stopping, versions, ownersAt);
+  }
+
+  DispatchState withVersions(AdapterVersions next) {
+    return new DispatchState(
+        catalogue, instances, requests, allowances, budgets, peers, stopping, next, ownersAt);
   }
 
   DispatchState withOwnersAt(MonotonicTime time) {
     return new DispatchState(
-        catalogue, instances, requests, allowances, budgets, peers, stopping, time);
+        catalogue, instances, requests, allowances, budgets, peers, stopping, versions, time);
   }
 
   DispatchState withPeers(PeerTable next) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, next, stopping, ownersAt);
+    return new DispatchState(catalogue, instances, requests, allowances, budgets, next, stopping, versions, ownersAt);
   }
 
   DispatchState withStopping(StopStage stage) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, peers, stage, ownersAt);
+    return new DispatchState(catalogue, instances, requests, allowances, budgets, peers, stage, versions, ownersAt);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -139,6 +148,6 @@
   }
 
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
-    return new DispatchState(catalogue, instances, next, allowances, budgets, peers, stopping, ownersAt);
+    return new DispatchState(catalogue, instances, next, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -87,6 +87,9 @@
     if (event instanceof DispatchEvent.PeersCounted counted) {
       return peersCounted(state, counted);
     }
+    if (event instanceof DispatchEvent.VersionDeclared declared) {
+      return versionDeclared(state, declared);
+    }
     if (event instanceof DispatchEvent.OwnersKnown known) {
       return state
           .withInstances(state.instances().withOwned(known.instances()))
@@ -129,11 +132,25 @@
               .find(instance.identifier())
               .map(known -> known.announce(instance, time))
               .orElseGet(() -> InstanceView.fresh(instance, time));
-      table = table.with(view);
+      table = table.with(view.withAdapters(view.adapters().current(state.versions())));
     }
     return state.withInstances(table);
   }
 
+  private static DispatchState versionDeclared(
+      DispatchState state, DispatchEvent.VersionDeclared declared) {
+    InstanceTable table = state.instances();
+    for (InstanceView view : state.instances().all()) {
+      HeldAdapters current = view.adapters().declared(declared.adapter(), declared.version());
+      if (current != view.adapters()) {
+        table = table.with(view.withAdapters(current));
+      }
+    }
+    return state
+        .withInstances(table)
+        .withVersions(state.versions().with(declared.adapter(), declared.version()));
+  }
+
   private static DispatchState adaptersReported(
       DispatchState state, AdapterReport report, MonotonicTime time) {
     return state.withInstances(
@@ -143,7 +160,8 @@
                 report.instance(),
                 view ->
                     view.instance().startedAtMillis() == report.startedAtMillis()
-                        ? view.withAdapters(view.adapters().report(report, time))
+                        ? view.withAdapters(
+                            view.adapters().report(report, time).current(state.versions()))
                         : view));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
@@ -6,6 +6,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
+import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.instance.Instance;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -72,6 +73,35 @@
         : next(report.orderCount(), time, report.models(), report.adapters(), time);
   }
 
+  /** Returns what may still be used, by the declared versions. */
+  HeldAdapters current(AdapterVersions versions) {
+    HeldAdapters next = this;
+    for (Map.Entry<AdapterKey, Long> adapter : held.entrySet()) {
+      boolean awaited = readyAt.containsKey(adapter.getKey());
+      if (!awaited && !versions.current(adapter.getKey(), adapter.getValue())) {
+        next = next.without(adapter.getKey());
+      }
+    }
+    return next;
+  }
+
+  /** Returns what may still be used after a version of an adapter was declared. */
+  HeldAdapters declared(AdapterKey adapter, long version) {
+    Long known = held.get(adapter);
+    return known == null || known >= version ? this : without(adapter);
+  }
+
+  private HeldAdapters without(AdapterKey adapter) {
+    return new HeldAdapters(
+        orderCount,
+        reportedAt,
+        models,
+        held.minus(adapter),
+        readyAt.minus(adapter),
+        former.minus(adapter),
+        loadsRefusedUntil);
+  }
+
   boolean holds(AdapterKey adapter) {
     return held.containsKey(adapter);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
@@ -211,6 +211,7 @@
             active.account().map(AccountLimits::name),
             active.route().kind().stream(),
             active.route().kind().repeatable(),
+            work.map(asked -> state.versions().of(asked.adapter())).orElse(0L),
             inputs(candidate, state));
     return Step.<DispatchState, DispatchEffect>of(next, send)
         .andThen(before -> state(before, sent, firstCheck(sent, time)));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineDesk.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineDesk.java
@@ -59,7 +59,7 @@
           state, refuse(request.endpoint(), request.instance(), request.adapter(), "not_owner"));
     }
     AdapterSlot slot = engine.slots().get(request.adapter());
-    if (slot != null) {
+    if (slot != null && state.versions().current(request.adapter(), slot.version())) {
       FleetState used =
           state.withEngine(request.instance(), engine.withSlot(request.adapter(), slot.used(time)));
       return Step.of(
@@ -182,7 +182,11 @@
       MonotonicTime time) {
     Duration expected =
         engine.former().containsKey(order.adapter()) ? settings.warmLoad() : settings.coldLoad();
-    AdapterSlot slot = new AdapterSlot(0, order.sentAt().plus(expected).plus(ARRIVAL_MARGIN), time);
+    AdapterSlot slot =
+        new AdapterSlot(
+            state.versions().of(order.adapter()),
+            order.sentAt().plus(expected).plus(ARRIVAL_MARGIN),
+            time);
     Optional<PendingLoad> pending = engine.findPending(order.adapter());
     OwnedEngine next = engine.loaded(order.adapter(), slot, time);
     List<FleetEffect> effects = new ArrayList<>();
@@ -244,7 +248,8 @@
     PendingLoad first = engine.pending().get(0);
     long coming =
         engine.slots().values().stream().filter(slot -> time.isBefore(slot.readyAt())).count();
-    boolean full = engine.slots().size() >= profile.adapterSlots();
+    boolean replaces = engine.slots().containsKey(first.adapter());
+    boolean full = !replaces && engine.slots().size() >= profile.adapterSlots();
     Optional<AdapterKey> victim = full ? victim(engine, time) : Optional.empty();
     if (coming >= MOST_COMING || full && victim.isEmpty()) {
       return time.since(first.since()).compareTo(LONGEST_WAIT) > 0
@@ -275,6 +280,7 @@
             clocks.lastOrder(),
             kind,
             adapter,
+            state.versions().of(adapter),
             engine.orderCount(),
             lease.fence(),
             leases.heldUntil(state, target.identifier())));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
@@ -23,6 +23,7 @@
    * @param orderNumber the number of the order on this host
    * @param kind what to do
    * @param adapter the adapter
+   * @param version the version to load; 0 for the newest that the store has
    * @param expectedOrders the orders that the server has accepted, as far as known
    * @param fence the fencing number of the lease
    * @param writeBefore when the right to give the order ends
@@ -32,6 +33,7 @@
       long orderNumber,
       OrderKind kind,
       AdapterKey adapter,
+      long version,
       long expectedOrders,
       long fence,
       MonotonicTime writeBefore)
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
@@ -54,6 +54,9 @@
   /** A newer catalogue is in force. */
   record CatalogueChanged(ServiceCatalogue catalogue) implements FleetEvent {}
 
+  /** The operators have declared a version of an adapter. */
+  record VersionDeclared(AdapterKey adapter, long version) implements FleetEvent {}
+
   /** This process is about to stop. */
   record Leaving() implements FleetEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -25,8 +26,7 @@
  * @param votes the votes that bind this host, by instance
  * @param leases the claims of this host, by instance
  * @param engines the model servers that this host gives orders to
- * @param instances the announced instances
- * @param catalogue the catalogue in force
+ * @param published what the platform has published
  */
 public record FleetState(
     Clocks clocks,
@@ -36,8 +36,7 @@
     PMap<String, Vote> votes,
     PMap<String, Lease> leases,
     PMap<String, OwnedEngine> engines,
-    PMap<String, Instance> instances,
-    ServiceCatalogue catalogue) {
+    Published published) {
 
   /**
    * Returns the state of a host that has just started.
@@ -74,8 +73,7 @@
         HashTreePMap.empty(),
         HashTreePMap.empty(),
         HashTreePMap.empty(),
-        HashTreePMap.empty(),
-        ServiceCatalogue.EMPTY);
+        new Published(HashTreePMap.empty(), ServiceCatalogue.EMPTY, AdapterVersions.NONE));
   }
 
   /** Returns the endpoints of the live hosts. */
@@ -93,12 +91,24 @@
     return engines.keySet();
   }
 
+  PMap<String, Instance> instances() {
+    return published.instances();
+  }
+
+  ServiceCatalogue catalogue() {
+    return published.catalogue();
+  }
+
+  AdapterVersions versions() {
+    return published.versions();
+  }
+
   int majority() {
     return knownHosts() / 2 + 1;
   }
 
   Optional<EngineProfile> profile(Instance instance) {
-    return catalogue.service(instance.service()).flatMap(ServiceDefinition::engine);
+    return catalogue().service(instance.service()).flatMap(ServiceDefinition::engine);
   }
 
   /** Returns the live host that says to hold the lease of an instance. */
@@ -121,21 +131,21 @@
   }
 
   FleetState withClocks(Clocks next) {
-    return new FleetState(next, hubs, hosts, figures, votes, leases, engines, instances, catalogue);
+    return new FleetState(next, hubs, hosts, figures, votes, leases, engines, published);
   }
 
   FleetState withHosts(PMap<String, HostView> next) {
     return new FleetState(
-        clocks, hubs, next, figures, votes, leases, engines, instances, catalogue);
+        clocks, hubs, next, figures, votes, leases, engines, published);
   }
 
   FleetState withHubs(List<String> next) {
     return new FleetState(
-        clocks, next, hosts, figures, votes, leases, engines, instances, catalogue);
+        clocks, next, hosts, figures, votes, leases, engines, published);
   }
 
   FleetState withFigures(PMap<String, HostFigures> next) {
-    return new FleetState(clocks, hubs, hosts, next, votes, leases, engines, instances, catalogue);
+    return new FleetState(clocks, hubs, hosts, next, votes, leases, engines, published);
   }
 
   FleetState withHost(HostView host) {
@@ -144,15 +154,15 @@
 
   FleetState withVotes(PMap<String, Vote> next) {
     return new FleetState(
-        clocks, hubs, hosts, figures, next, leases, engines, instances, catalogue);
+        clocks, hubs, hosts, figures, next, leases, engines, published);
   }
 
   FleetState withLeases(PMap<String, Lease> next) {
-    return new FleetState(clocks, hubs, hosts, figures, votes, next, engines, instances, catalogue);
+    return new FleetState(clocks, hubs, hosts, figures, votes, next, engines, published);
   }
 
   FleetState withEngines(PMap<String, OwnedEngine> next) {
-    return new FleetState(clocks, hubs, hosts, figures, votes, leases, next, instances, catalogue);
+    return new FleetState(clocks, hubs, hosts, figures, votes, leases, next, published);
   }
 
   FleetState withEngine(String instance, OwnedEngine engine) {
@@ -160,13 +170,33 @@
   }
 
   FleetState withInstances(PMap<String, Instance> next) {
-    return new FleetState(clocks, hubs, hosts, figures, votes, leases, engines, next, catalogue);
+    return withPublished(new Published(next, catalogue(), versions()));
   }
 
   FleetState withCatalogue(ServiceCatalogue next) {
-    return new FleetState(clocks, hubs, hosts, figures, votes, leases, engines, instances, next);
+    return withPublished(new Published(instances(), next, versions()));
+  }
+
+  FleetState withVersions(AdapterVersions next) {
+    return withPublished(new Published(instances(), catalogue(), next));
+  }
+
+  private FleetState withPublished(Published next) {
+    return new FleetState(clocks, hubs, hosts, figures, votes, leases, engines, next);
   }
 
+  /**
+   * What the platform has published.
+   *
+   * <p>Immutable and thread-safe.
+   *
+   * @param instances the announced instances
+   * @param catalogue the catalogue in force
+   * @param versions the newest declared versions of the adapters
+   */
+  record Published(
+      PMap<String, Instance> instances, ServiceCatalogue catalogue, AdapterVersions versions) {}
+
   /**
    * The times and numbers of this host.
    *
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -87,6 +87,9 @@
           .withLeases(state.leases().minus(identifier))
           .withEngines(state.engines().minus(identifier));
     }
+    if (event instanceof FleetEvent.VersionDeclared declared) {
+      return state.withVersions(state.versions().with(declared.adapter(), declared.version()));
+    }
     if (event instanceof FleetEvent.CatalogueChanged changed) {
       return changed.catalogue().version() > state.catalogue().version()
           ? state.withCatalogue(changed.catalogue())
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -309,6 +309,23 @@
       host.send("/chat/x", work(DispatchFixture.ADAPTER));
     }
 
+    @Test
+    @DisplayName("use no older version of an adapter than the declared one, and name it")
+    void followsDeclaredVersion() {
+      AdapterKey adapter = DispatchFixture.ADAPTER;
+      assertEquals(0, host.send("/chat/x", work(adapter)).adapterVersion());
+      host.apply(new DispatchEvent.VersionDeclared(adapter, 3));
+      only(host.receive("/chat/x", work(adapter)), DispatchEffect.AskLoad.class);
+      host.announce(
+          DispatchFixture.instance("e1", "engine", false, 2, Map.of(adapter, 2L)),
+          DispatchFixture.instance("e2", "engine", false, 2, Map.of(adapter, 3L)));
+      DispatchEffect.Send send = host.send("/chat/x", work(adapter));
+      assertEquals("e2", send.instance().identifier());
+      assertEquals(3, send.adapterVersion());
+      host.apply(new DispatchEvent.VersionDeclared(adapter, 2));
+      assertEquals(3, host.send("/chat/x", work(adapter)).adapterVersion());
+    }
+
     @Test
     @DisplayName("wait a little longer for an adapter that is late, and ask for no second load")
     void waitsForLateAdapter() {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
@@ -56,7 +56,13 @@
   }
 
   /** An order as a server saw it. */
-  record Order(String host, String instance, long fence, long nanoseconds) {}
+  record Order(
+      String host,
+      String instance,
+      AdapterKey adapter,
+      long version,
+      long fence,
+      long nanoseconds) {}
 
   List<Order> orders() {
     return orders;
@@ -75,6 +81,15 @@
     hosts.get(name).apply(new FleetEvent.Leaving());
   }
 
+  /** Declares a version of every adapter to all hosts. */
+  void declareVersion(long version) {
+    for (Host host : hosts.values()) {
+      for (int index = 0; index < ADAPTERS; index++) {
+        host.apply(new FleetEvent.VersionDeclared(new AdapterKey("base", "a" + index), version));
+      }
+    }
+  }
+
   void start(String name, boolean first) {
     Host host = new Host(name, first);
     hosts.put(name, host);
@@ -189,7 +204,8 @@
                       false)));
     } else if (effect instanceof FleetEffect.SendOrder order) {
       String instance = order.instance().identifier();
-      orders.add(new Order(host.name, instance, order.fence(), now));
+      orders.add(
+          new Order(host.name, instance, order.adapter(), order.version(), order.fence(), now));
       orderCounts.merge(instance, 1L, Long::sum);
       schedule(
           3_000_000,
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -79,6 +80,24 @@
     assertOrderly(fleet, "two leave");
   }
 
+  @Test
+  @DisplayName("load a declared version, also where an older one is held")
+  void loadDeclaredVersion() {
+    FakeFleet fleet = new FakeFleet(12, 6, 0);
+    fleet.run(Duration.ofSeconds(20));
+    int before = fleet.orders().size();
+    Set<String> loaded =
+        fleet.orders().stream()
+            .map(order -> order.instance() + order.adapter())
+            .collect(Collectors.toSet());
+    fleet.declareVersion(2);
+    fleet.run(Duration.ofSeconds(10));
+    List<FakeFleet.Order> after = fleet.orders().subList(before, fleet.orders().size());
+    assertTrue(after.stream().allMatch(order -> order.version() == 2));
+    assertTrue(
+        after.stream().anyMatch(order -> loaded.contains(order.instance() + order.adapter())));
+  }
+
   @Test
   @DisplayName("find owners again after all were restarted")
   void recoverTogether() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffects.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffects.java
@@ -127,8 +127,12 @@
           version.adapter(),
           "version",
           version.version(),
+          "revision",
+          item.revision(),
           "outcome",
-          "later loads fetch it");
+          "older copies are not used");
+      dispatch.offer(new DispatchEvent.VersionDeclared(version.adapter(), version.version()));
+      fleet.offer(new FleetEvent.VersionDeclared(version.adapter(), version.version()));
     } else if (decoded instanceof DecodedItem.Ignored ignored) {
       LOG.warning(
           "item_ignored",
