--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -90,11 +90,13 @@
   }
 
   DispatchState withCatalogue(ServiceCatalogue next) {
-    return new DispatchState(next, instances, requests, allowances, budgets, peers, stopping, versions, ownersAt);
+    return new DispatchState(
+        next, instances, requests, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withInstances(InstanceTable next) {
-    return new DispatchState(catalogue, next, requests, allowances, budgets, peers, stopping, versions, ownersAt);
+    return new DispatchState(
+        catalogue, next, requests, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -110,7 +112,8 @@
   }
 
   DispatchState withAllowances(PMap<String, Allowance> next) {
-    return new DispatchState(catalogue, instances, requests, next, budgets, peers, stopping, versions, ownersAt);
+    return new DispatchState(
+        catalogue, instances, requests, next, budgets, peers, stopping, versions, ownersAt);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -133,11 +136,13 @@
   }
 
   DispatchState withPeers(PeerTable next) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, next, stopping, versions, ownersAt);
+    return new DispatchState(
+        catalogue, instances, requests, allowances, budgets, next, stopping, versions, ownersAt);
   }
 
   DispatchState withStopping(StopStage stage) {
-    return new DispatchState(catalogue, instances, requests, allowances, budgets, peers, stage, versions, ownersAt);
+    return new DispatchState(
+        catalogue, instances, requests, allowances, budgets, peers, stage, versions, ownersAt);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -148,6 +153,7 @@
   }
 
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
-    return new DispatchState(catalogue, instances, next, allowances, budgets, peers, stopping, versions, ownersAt);
+    return new DispatchState(
+        catalogue, instances, next, allowances, budgets, peers, stopping, versions, ownersAt);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
@@ -181,8 +181,14 @@
     if (adapters.size() <= MOST_FORMER) {
       return adapters;
     }
-    AdapterKey oldest =
-        adapters.entrySet().stream().min(Map.Entry.comparingByValue()).orElseThrow().getKey();
+    AdapterKey oldest = null;
+    long oldestAt = Long.MAX_VALUE;
+    for (Map.Entry<AdapterKey, Long> adapter : adapters.entrySet()) {
+      if (oldest == null || adapter.getValue() < oldestAt) {
+        oldest = adapter.getKey();
+        oldestAt = adapter.getValue();
+      }
+    }
     return bounded(adapters.minus(oldest));
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
@@ -74,8 +74,7 @@
     }
     String service = former.instance().service();
     PMap<String, InstanceView> group = byService.get(service).minus(identifier);
-    return new InstanceTable(
-        byIdentifier.minus(identifier), byService.plus(service, group), owned);
+    return new InstanceTable(byIdentifier.minus(identifier), byService.plus(service, group), owned);
   }
 
   InstanceTable change(String identifier, UnaryOperator<InstanceView> change) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
@@ -64,11 +64,19 @@
     }
     Instance next = instance.draining() ? announced.asDraining() : announced;
     return new InstanceView(
-        next, Optional.empty(), own, peers, health, adapters.announce(announced, time), prompts, owned);
+        next,
+        Optional.empty(),
+        own,
+        peers,
+        health,
+        adapters.announce(announced, time),
+        prompts,
+        owned);
   }
 
   InstanceView withRemovedAt(MonotonicTime time) {
-    return new InstanceView(instance, Optional.of(time), own, peers, health, adapters, prompts, owned);
+    return new InstanceView(
+        instance, Optional.of(time), own, peers, health, adapters, prompts, owned);
   }
 
   InstanceView withOwn(SentLoad load) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
@@ -84,9 +84,7 @@
       case NONE -> send(state, active, chosen.get(), time);
       case COMING -> awaitArrival(state, active, view, time);
       case ORDER ->
-          view.owned()
-              ? askLoad(state, active, view, time)
-              : awaitOwner(state, active, time);
+          view.owned() ? askLoad(state, active, view, time) : awaitOwner(state, active, time);
     };
   }
 
@@ -242,8 +240,7 @@
     Duration least = ownersIn.compareTo(OWNER_DELAY) < 0 ? OWNER_DELAY : ownersIn;
     Duration elapsed = time.since(active.receivedAt());
     return elapsed.plus(least).compareTo(patience(active)) > 0
-        ? Conclusions.giveUp(
-            state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, least, time)
+        ? Conclusions.giveUp(state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, least, time)
         : state(state, active.with(active.progress().waiting(time)), OWNER_DELAY);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -121,7 +121,14 @@
 
   /** Returns the instances that this host or another live one gives orders to. */
   Set<String> ownedByAny() {
-    Set<String> owned = new HashSet<>(engines.keySet());
+    Set<String> owned = ownedByOthers();
+    owned.addAll(engines.keySet());
+    return owned;
+  }
+
+  /** Returns the instances that other live hosts give orders to; the caller may change the set. */
+  Set<String> ownedByOthers() {
+    Set<String> owned = new HashSet<>();
     for (HostView host : hosts.values()) {
       if (host.alive()) {
         owned.addAll(host.held());
@@ -135,13 +142,11 @@
   }
 
   FleetState withHosts(PMap<String, HostView> next) {
-    return new FleetState(
-        clocks, hubs, next, figures, votes, leases, engines, published);
+    return new FleetState(clocks, hubs, next, figures, votes, leases, engines, published);
   }
 
   FleetState withHubs(List<String> next) {
-    return new FleetState(
-        clocks, next, hosts, figures, votes, leases, engines, published);
+    return new FleetState(clocks, next, hosts, figures, votes, leases, engines, published);
   }
 
   FleetState withFigures(PMap<String, HostFigures> next) {
@@ -153,8 +158,7 @@
   }
 
   FleetState withVotes(PMap<String, Vote> next) {
-    return new FleetState(
-        clocks, hubs, hosts, figures, next, leases, engines, published);
+    return new FleetState(clocks, hubs, hosts, figures, next, leases, engines, published);
   }
 
   FleetState withLeases(PMap<String, Lease> next) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -113,18 +113,17 @@
   private Step<FleetState, FleetEffect> heartbeat(
       FleetState state, FleetEvent.HeartbeatReceived received, MonotonicTime time) {
     Heartbeat heartbeat = received.heartbeat();
-    if (heartbeat.leaving()) {
-      return left(state, heartbeat.endpoint(), received.incarnation(), time);
-    }
     HostView known =
         state
             .hosts()
             .getOrDefault(heartbeat.endpoint(), HostView.unheard(heartbeat.endpoint(), time));
     HostView heard =
-        known
-            .heard(received.incarnation(), time)
-            .withHeld(heartbeat.held())
-            .withCapacity(heartbeat.capacityPercent());
+        heartbeat.leaving()
+            ? known.left(received.incarnation(), time)
+            : known
+                .heard(received.incarnation(), time)
+                .withHeld(heartbeat.held())
+                .withCapacity(heartbeat.capacityPercent());
     FleetState next =
         established(
             withNewHosts(state.withHost(heard), heartbeat.hosts(), time)
@@ -135,10 +134,13 @@
             withUse(next, heartbeat.endpoint(), heartbeat.use(), time),
             received.incarnation(),
             heartbeat);
+    if (heartbeat.leaving()) {
+      next = leases.released(next, heartbeat.endpoint(), time);
+    }
     Step<FleetState, String> voted =
         leases.vote(next, heartbeat.endpoint(), heartbeat.claims(), time);
     List<FleetEffect> effects = new ArrayList<>();
-    if (!known.alive() || !heartbeat.claims().isEmpty()) {
+    if (!known.alive() && !heartbeat.leaving() || !heartbeat.claims().isEmpty()) {
       effects.add(
           new FleetEffect.SendMessage(
               heartbeat.endpoint(),
@@ -148,8 +150,8 @@
                   voted.state().clocks().highestFence(),
                   voted.effects())));
     }
-    if (!known.alive()) {
-      effects.add(note("host_alive", heartbeat.endpoint()));
+    if (known.alive() != heard.alive()) {
+      effects.add(note(heard.alive() ? "host_alive" : "host_leaving", heartbeat.endpoint()));
       effects.add(hostsChanged(voted.state()));
     }
     boolean hub = voted.state().hubs().contains(settings.self());
@@ -217,7 +219,7 @@
       if (mayForget && silence.compareTo(settings.forgetAfter()) > 0) {
         hosts = hosts.minus(host.endpoint());
         changed = true;
-      } else if (host.alive() && silence.compareTo(silenceLimit(state, host)) > 0) {
+      } else if (host.inUse() && silence.compareTo(silenceLimit(state, host)) > 0) {
         hosts = hosts.plus(host.endpoint(), host.silent());
         next = withUse(next, host.endpoint(), Map.of(), time);
         effects.add(note("host_silent", host.endpoint()));
@@ -240,19 +242,6 @@
         : settings.silenceLimit().multipliedBy(INDIRECT_SILENCE_FACTOR);
   }
 
-  private Step<FleetState, FleetEffect> left(
-      FleetState state, String endpoint, long incarnation, MonotonicTime time) {
-    HostView known = state.hosts().get(endpoint);
-    if (known == null) {
-      return Step.of(state);
-    }
-    FleetState next =
-        leases.released(state.withHost(known.left(incarnation, time)), endpoint, time);
-    return known.alive()
-        ? new Step<>(next, List.of(note("host_leaving", endpoint), hostsChanged(next)))
-        : Step.of(next);
-  }
-
   private Step<FleetState, FleetEffect> loadAsked(
       FleetState state, FleetEvent.LoadAsked asked, MonotonicTime time) {
     LoadRequest request = new LoadRequest(settings.self(), asked.instance(), asked.adapter());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HostView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HostView.java
@@ -66,6 +66,11 @@
         endpoint, run, time, false, nextHeartbeatAt, capacityPercent, List.of(), true);
   }
 
+  /** Tells whether requests of this host may run: it is alive, or it finishes its last ones. */
+  boolean inUse() {
+    return alive || leaving;
+  }
+
   HostView withHeld(List<String> instances) {
     return new HostView(
         endpoint,
@@ -87,14 +92,7 @@
 
   HostView silent() {
     return new HostView(
-        endpoint,
-        incarnation,
-        heardAt,
-        false,
-        nextHeartbeatAt,
-        capacityPercent,
-        List.of(),
-        leaving);
+        endpoint, incarnation, heardAt, false, nextHeartbeatAt, capacityPercent, List.of(), false);
   }
 
   HostView heartbeatSent(MonotonicTime next) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Lease.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Lease.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.fleet;
 
+import java.util.Arrays;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -38,10 +39,12 @@
     if (votes.size() < majority) {
       return new MonotonicTime(Long.MIN_VALUE / 2);
     }
-    return votes.values().stream()
-        .sorted((first, second) -> second.compareTo(first))
-        .skip(majority - 1L)
-        .findFirst()
-        .orElseThrow();
+    long[] instants = new long[votes.size()];
+    int index = 0;
+    for (MonotonicTime countsUntil : votes.values()) {
+      instants[index++] = countsUntil.nanoseconds();
+    }
+    Arrays.sort(instants);
+    return new MonotonicTime(instants[instants.length - majority]);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Rendezvous;
 import org.parsleyhead.core.api.Step;
@@ -38,9 +39,21 @@
       return List.of();
     }
     List<String> candidates = state.hubs();
+    boolean candidate = candidates.contains(settings.self());
+    if (!candidate && state.engines().isEmpty()) {
+      return List.of();
+    }
+    Set<String> ownedByOthers = state.ownedByOthers();
     List<String> claims = new ArrayList<>();
     for (Instance instance : state.instances().values()) {
-      if (state.profile(instance).isPresent() && shouldHold(state, instance, candidates)) {
+      boolean owned = state.engines().containsKey(instance.identifier());
+      boolean preferred =
+          !owned
+              && candidate
+              && !ownedByOthers.contains(instance.identifier())
+              && Rendezvous.first(instance.identifier(), candidates)
+                  .equals(Optional.of(settings.self()));
+      if ((owned || preferred) && state.profile(instance).isPresent()) {
         claims.add(instance.identifier());
       }
     }
@@ -103,14 +116,6 @@
     return lease.heldUntil(state.majority());
   }
 
-  private boolean shouldHold(FleetState state, Instance instance, List<String> candidates) {
-    if (state.engines().containsKey(instance.identifier())) {
-      return true;
-    }
-    return state.holder(instance.identifier()).isEmpty()
-        && Rendezvous.first(instance.identifier(), candidates).equals(Optional.of(settings.self()));
-  }
-
   private Step<FleetState, FleetEffect> settleOne(
       FleetState state, String instance, MonotonicTime time) {
     Lease lease = state.leases().get(instance);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -16,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleyhead.core.instance.AdapterKey;
 
 @DisplayName("Hosts without a published list")
 class FleetProtocolTests {
@@ -98,6 +100,30 @@
         after.stream().anyMatch(order -> loaded.contains(order.instance() + order.adapter())));
   }
 
+  @Test
+  @DisplayName("unload no adapter that a host uses while it finishes its last requests")
+  void keepAdaptersOfLeaving() {
+    FakeFleet fleet = new FakeFleet(13, 6, 0);
+    fleet.run(Duration.ofSeconds(8));
+    Set<String> owners =
+        fleet.orders().stream()
+            .filter(order -> order.instance().equals("i-0"))
+            .map(FakeFleet.Order::host)
+            .collect(Collectors.toSet());
+    String leaving =
+        fleet.names().stream().filter(name -> !owners.contains(name)).findFirst().orElseThrow();
+    AdapterKey adapter = new AdapterKey("base", "used");
+    fleet.leave(leaving);
+    for (int attempt = 0; attempt < 50 && fleet.ordersOf(adapter).isEmpty(); attempt++) {
+      fleet.use(leaving, "i-0", adapter);
+      fleet.run(Duration.ofMillis(50));
+    }
+    fleet.run(Duration.ofSeconds(4));
+    List<FakeFleet.Order> orders = fleet.ordersOf(adapter);
+    assertEquals(1, orders.size());
+    assertEquals(FleetEffect.OrderKind.LOAD, orders.get(0).kind());
+  }
+
   @Test
   @DisplayName("find owners again after all were restarted")
   void recoverTogether() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -57,9 +57,9 @@
 
   private static final int FLEET_CAPACITY = 4_096;
   private static final int PUBLICATION_CAPACITY = 2_048;
-  private static final Duration DISPATCH_TICK = Duration.ofMillis(250);
+  private static final Duration DISPATCH_TICK = Duration.ofMillis(1_000);
   private static final Duration FLEET_TICK = Duration.ofMillis(100);
-  private static final Duration PUBLICATION_TICK = Duration.ofMillis(150);
+  private static final Duration PUBLICATION_TICK = Duration.ofMillis(200);
 
   /** Several heartbeats fit into the time in which a bucket may overshoot. */
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(300);
