A silent server is left only for one that takes the request at once

The send was cancelled before another server was known; the only others needed a load, which did not come in time. Ruled out: the change of configuration beside it (the request was older and its route stayed). Change: the send goes on unless another server can take the request at once; the silence still counts against the server. A refusal or held failure for a caller whose answer has begun closes its connection; it was dropped, and the caller waited. Test first: leavesSilentServer (failed: cancel and refusal without another server).

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
@@ -291,21 +291,48 @@
       return expire(state, active, time);
     }
     boolean silent = !active.progress().begun();
-    if (silent && active.mayRunAgain() && mayRepeat(state, active, time)) {
-      String instance = active.progress().instance().orElseThrow();
-      DispatchEffect cancel =
-          new DispatchEffect.CancelAttempt(active.request(), active.progress().sends(), "silent");
-      DispatchState next =
-          Conclusions.withoutShare(state, active)
-              .withInstances(
-                  Conclusions.withoutShare(state, active)
-                      .instances()
-                      .change(instance, view -> view.withHealth(view.health().failed(time, true))));
-      ActiveRequest freed = active.with(active.progress().ended(false, true));
-      return Step.<DispatchState, DispatchEffect>of(next, cancel)
-          .andThen(before -> choose(before, freed, time));
+    if (!silent || !active.mayRunAgain()) {
+      return state(state, active.with(active.progress().nextWake()), active.deadline().since(time));
     }
-    return state(state, active.with(active.progress().nextWake()), active.deadline().since(time));
+    DispatchState warned =
+        state.withInstances(
+            state
+                .instances()
+                .change(
+                    active.progress().instance().orElseThrow(),
+                    view -> view.withHealth(view.health().failed(time, true))));
+    return leaveSilent(warned, active, time)
+        .orElseGet(
+            () ->
+                state(
+                    warned,
+                    active.with(active.progress().nextWake()),
+                    shorter(SHORTEST_SILENCE, active.deadline().since(time))));
+  }
+
+  /**
+   * Sends a request elsewhere if another server can take it at once; else its server may answer.
+   */
+  private Optional<Step<DispatchState, DispatchEffect>> leaveSilent(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    if (!mayRepeat(state, active, time)) {
+      return Optional.empty();
+    }
+    DispatchState freedState = Conclusions.withoutShare(state, active);
+    ActiveRequest freed = active.with(active.progress().ended(false, true));
+    DispatchEffect cancel =
+        new DispatchEffect.CancelAttempt(active.request(), active.progress().sends(), "silent");
+    return choice
+        .choose(
+            freed,
+            state.catalogue().service(active.service()),
+            candidates(freedState, freed, time),
+            time)
+        .filter(other -> other.load() == Candidate.LoadNeed.NONE)
+        .map(
+            other ->
+                Step.<DispatchState, DispatchEffect>of(freedState, cancel)
+                    .andThen(before -> send(before, freed, other, time)));
   }
 
   private Step<DispatchState, DispatchEffect> expire(
@@ -336,7 +363,11 @@
             Math.max(
                 SHORTEST_SILENCE.toMillis(),
                 (long) (active.route().latencyTarget().toMillis() * SILENCE_FACTOR)));
-    return silence.compareTo(untilDeadline) < 0 ? silence : untilDeadline;
+    return shorter(silence, untilDeadline);
+  }
+
+  private static Duration shorter(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
   }
 
   private static SentLoad share(ActiveRequest active, InstanceView view) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -265,6 +265,27 @@
       assertNotEquals(ask.instance(), second.instance());
     }
 
+    @Test
+    @DisplayName("leave a silent server only if another one can take the request at once")
+    void leavesSilentServer() {
+      host.apply(new DispatchEvent.InstanceRemoved("e2"));
+      host.advance(Duration.ofSeconds(2));
+      host.announce(DispatchFixture.instance("e3", "engine", false, 1, Map.of()));
+      List<DispatchEffect> sent = host.receive("/chat/x", work(DispatchFixture.ADAPTER));
+      DispatchEffect.WakeAfter check = only(sent, DispatchEffect.WakeAfter.class);
+      host.advance(check.delay());
+      List<DispatchEffect> waited =
+          host.apply(new DispatchEvent.Wake(check.requestKey(), check.wakeNumber()));
+      DispatchEffect.WakeAfter again = only(waited, DispatchEffect.WakeAfter.class);
+      assertEquals(1, waited.size());
+      host.announce(DispatchFixture.engine("e4"));
+      host.advance(again.delay());
+      List<DispatchEffect> moved =
+          host.apply(new DispatchEvent.Wake(again.requestKey(), again.wakeNumber()));
+      only(moved, DispatchEffect.CancelAttempt.class);
+      assertEquals("e4", only(moved, DispatchEffect.Send.class).instance().identifier());
+    }
+
     @Test
     @DisplayName("load an adapter at a server that some host gives orders to")
     void loadsWhereOwned() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/Exchange.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/Exchange.java
@@ -132,9 +132,13 @@
     }
   }
 
-  /** Answers with a whole answer of an instance. */
+  /** Answers with a whole answer; breaks off if another answer has begun. */
   public void answer(HttpResponseStatus status, HttpHeaders headers, byte[] content) {
-    if (ended || headSent) {
+    if (ended) {
+      return;
+    }
+    if (headSent) {
+      abort();
       return;
     }
     DefaultFullHttpResponse response =
