--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HeldAdapters.java
@@ -92,13 +92,17 @@
   }
 
   private HeldAdapters without(AdapterKey adapter) {
+    return without(adapter, former.minus(adapter));
+  }
+
+  private HeldAdapters without(AdapterKey adapter, PMap<AdapterKey, Long> nextFormer) {
     return new HeldAdapters(
         orderCount,
         reportedAt,
         models,
         held.minus(adapter),
         readyAt.minus(adapter),
-        former.minus(adapter),
+        nextFormer,
         loadsRefusedUntil);
   }
 
@@ -159,18 +163,9 @@
   HeldAdapters lacked(AdapterKey adapter, MonotonicTime time) {
     MonotonicTime expected = readyAt.get(adapter);
     boolean late = expected != null && time.since(expected).compareTo(LONGEST_DELAY) < 0;
-    return late ? expect(adapter, time.plus(LATE_LOAD_DELAY)) : missing(adapter, time);
-  }
-
-  private HeldAdapters missing(AdapterKey adapter, MonotonicTime time) {
-    return new HeldAdapters(
-        orderCount,
-        reportedAt,
-        models,
-        held.minus(adapter),
-        readyAt.minus(adapter),
-        bounded(former.plus(adapter, time.nanoseconds())),
-        loadsRefusedUntil);
+    return late
+        ? expect(adapter, time.plus(LATE_LOAD_DELAY))
+        : without(adapter, bounded(former.plus(adapter, time.nanoseconds())));
   }
 
   HeldAdapters refuseLoads(MonotonicTime until) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Sending.java
@@ -38,24 +38,9 @@
   /** How long a request waits before it looks again for a server with an owner. */
   private static final Duration OWNER_DELAY = Duration.ofMillis(100);
 
-  /**
-   * Part of the latency target for which a request waits for a load before its caller is asked to
-   * come back: answers that begin later than the target are worth a third.
-   */
-  private static final double PATIENCE_FACTOR = 0.5;
-
-  /** Part of its time for which a request waits for a load; later it could not end in time. */
-  private static final double PATIENCE_PART = 0.4;
-
   /** Most sends of one request; those that surely did not run included. */
   private static final int MOST_SENDS = 4;
 
-  /** A send that stays silent for this multiple of the latency target is given up if it may be. */
-  private static final double SILENCE_FACTOR = 1.8;
-
-  /** Shortest silence after which a repeatable request is sent elsewhere. */
-  private static final Duration SHORTEST_SILENCE = Duration.ofMillis(400);
-
   private final DispatchSettings settings;
   private final InstanceChoice choice;
 
@@ -212,13 +197,13 @@
             work.map(asked -> state.versions().of(asked.adapter())).orElse(0L),
             inputs(candidate, state));
     return Step.<DispatchState, DispatchEffect>of(next, send)
-        .andThen(before -> state(before, sent, firstCheck(sent, time)));
+        .andThen(before -> state(before, sent, Patience.untilFirstCheck(sent, time)));
   }
 
   private Step<DispatchState, DispatchEffect> askLoad(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     if (active.progress().loadRequests() >= MOST_LOAD_REQUESTS) {
-      return time.since(active.receivedAt()).compareTo(patience(active)) > 0
+      return time.since(active.receivedAt()).compareTo(Patience.forLoad(active)) > 0
           ? Conclusions.giveUp(state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, time)
           : state(
               state,
@@ -239,17 +224,11 @@
     Duration ownersIn = state.ownersAt().since(time);
     Duration least = ownersIn.compareTo(OWNER_DELAY) < 0 ? OWNER_DELAY : ownersIn;
     Duration elapsed = time.since(active.receivedAt());
-    return elapsed.plus(least).compareTo(patience(active)) > 0
+    return elapsed.plus(least).compareTo(Patience.forLoad(active)) > 0
         ? Conclusions.giveUp(state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, least, time)
         : state(state, active.with(active.progress().waiting(time)), OWNER_DELAY);
   }
 
-  private static Duration patience(ActiveRequest active) {
-    double target = active.route().latencyTarget().toMillis() * PATIENCE_FACTOR;
-    double part = active.deadline().since(active.receivedAt()).toMillis() * PATIENCE_PART;
-    return Duration.ofMillis((long) Math.min(target, part));
-  }
-
   private Step<DispatchState, DispatchEffect> awaitArrival(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     AdapterKey adapter = active.request().work().orElseThrow().adapter();
@@ -307,7 +286,7 @@
                 state(
                     warned,
                     active.with(active.progress().nextWake()),
-                    shorter(SHORTEST_SILENCE, active.deadline().since(time))));
+                    Patience.untilNextCheck(active, time)));
   }
 
   /**
@@ -353,23 +332,6 @@
     return Conclusions.giveUp(state, active, code, time);
   }
 
-  private static Duration firstCheck(ActiveRequest active, MonotonicTime time) {
-    Duration untilDeadline = active.deadline().since(time);
-    if (!active.mayRunAgain()) {
-      return untilDeadline;
-    }
-    Duration silence =
-        Duration.ofMillis(
-            Math.max(
-                SHORTEST_SILENCE.toMillis(),
-                (long) (active.route().latencyTarget().toMillis() * SILENCE_FACTOR)));
-    return shorter(silence, untilDeadline);
-  }
-
-  private static Duration shorter(Duration first, Duration second) {
-    return first.compareTo(second) < 0 ? first : second;
-  }
-
   private static SentLoad share(ActiveRequest active, InstanceView view) {
     Optional<ModelWork> work = active.request().work();
     if (work.isEmpty()) {
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AllowanceFleetTests.java
@@ -0,0 +1,124 @@
+package org.parsleyhead.core.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.parsleyhead.core.api.ClientAccountName;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.serving.AccountLimits;
+
+@DisplayName("The copies of one bucket on all hosts")
+class AllowanceFleetTests {
+
+  private static final double RATE = 29_000;
+  private static final double BURST = 29_000;
+  private static final double GRANTED_TOLERANCE = 0.25;
+  private static final double GRANTED_SLACK = 110_000;
+  private static final double USED_TOLERANCE = 0.6 * GRANTED_TOLERANCE;
+  private static final double USED_SLACK = 0.35 * GRANTED_SLACK;
+  private static final int WINDOW_MILLISECONDS = 8_000;
+  private static final int STEP_MILLISECONDS = 10;
+  private static final int DELAY_MILLISECONDS = 20;
+  private static final int QUIET_MILLISECONDS = 20_000;
+  private static final int TOTAL_MILLISECONDS = 60_000;
+
+  private static final AccountLimits LIMITS =
+      new AccountLimits(
+          new ClientAccountName("account"),
+          Set.of("key"),
+          OptionalInt.empty(),
+          true,
+          200,
+          RATE,
+          BURST);
+
+  private static MonotonicTime at(int milliseconds) {
+    return MonotonicTime.ORIGIN.plus(Duration.ofMillis(1_000L + milliseconds));
+  }
+
+  private static double units(Random random) {
+    return 300 + 1_200 * -Math.log(1 - random.nextDouble());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"6, 300, 1", "6, 300, 2", "6, 300, 4", "6, 300, 8"})
+  @DisplayName("keep the granted bound while an account asks for many times its rate")
+  void keepBound(int hosts, int reportMilliseconds, double demand) {
+    Random random = new Random(hosts * 100L + (long) demand);
+    List<Allowance> copies = new ArrayList<>();
+    for (int host = 0; host < hosts; host++) {
+      copies.add(Allowance.fresh(LIMITS, at(0)));
+    }
+    Deque<Report> onTheWay = new ArrayDeque<>();
+    Map<Integer, Double> admitted = new HashMap<>();
+    double due = 0;
+    for (int now = 0; now < TOTAL_MILLISECONDS; now += STEP_MILLISECONDS) {
+      while (!onTheWay.isEmpty() && onTheWay.peek().arrivesAt() <= now) {
+        deliver(onTheWay.poll(), copies, now);
+      }
+      for (int host = 0; host < hosts; host++) {
+        if ((now + host * 37) % reportMilliseconds < STEP_MILLISECONDS) {
+          onTheWay.add(new Report(host, copies.get(host).admitted(), now + DELAY_MILLISECONDS));
+        }
+      }
+      due += now < QUIET_MILLISECONDS ? 0 : demand * RATE * STEP_MILLISECONDS / 1_000;
+      while (due > 0) {
+        double units = units(random);
+        due -= units;
+        int host = random.nextInt(hosts);
+        Allowance copy = copies.get(host).advance(LIMITS, USED_TOLERANCE, at(now));
+        if (copy.admits(USED_SLACK)) {
+          copy = copy.admit(units);
+          admitted.merge(now, units, Double::sum);
+        }
+        copies.set(host, copy);
+      }
+    }
+    double bound =
+        (RATE * WINDOW_MILLISECONDS / 1_000 + BURST) * (1 + GRANTED_TOLERANCE) + GRANTED_SLACK;
+    double largest = largestWindow(admitted);
+    assertTrue(largest <= bound, () -> largest + " units in a window, permitted " + bound);
+    double served = admitted.values().stream().mapToDouble(Double::doubleValue).sum();
+    double asked = Math.min(1, demand) * RATE * (TOTAL_MILLISECONDS - QUIET_MILLISECONDS) / 1_000;
+    assertTrue(served >= 0.98 * asked, () -> served + " units served of " + asked);
+  }
+
+  private static void deliver(Report report, List<Allowance> copies, int now) {
+    for (int host = 0; host < copies.size(); host++) {
+      if (host != report.host()) {
+        copies.set(
+            host,
+            copies
+                .get(host)
+                .advance(LIMITS, USED_TOLERANCE, at(now))
+                .report("host-" + report.host(), 1, report.admitted(), at(now)));
+      }
+    }
+  }
+
+  private static double largestWindow(Map<Integer, Double> admitted) {
+    double largest = 0;
+    for (int start = 0; start < TOTAL_MILLISECONDS; start += STEP_MILLISECONDS) {
+      double sum = 0;
+      for (int now = start; now < start + WINDOW_MILLISECONDS; now += STEP_MILLISECONDS) {
+        sum += admitted.getOrDefault(now, 0.0);
+      }
+      largest = Math.max(largest, sum);
+    }
+    return largest;
+  }
+
+  private record Report(int host, double admitted, int arrivesAt) {}
+}
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
@@ -88,7 +88,7 @@
     FakeFleet fleet = new FakeFleet(12, 6, 0);
     fleet.run(Duration.ofSeconds(20));
     int before = fleet.orders().size();
-    Set<String> loaded =
+    final Set<String> loaded =
         fleet.orders().stream()
             .map(order -> order.instance() + order.adapter())
             .collect(Collectors.toSet());
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
@@ -57,7 +57,7 @@
   private void soak(long seed, int hosts, int engines, Duration duration) throws Exception {
     try (SoakFleet fleet = new SoakFleet(directory, hosts, engines)) {
       TimeUnit.MILLISECONDS.sleep(START.toMillis());
-      SoakTraffic traffic = new SoakTraffic(fleet, seed);
+      final SoakTraffic traffic = new SoakTraffic(fleet, seed);
       SoakFaults faults = new SoakFaults(fleet, seed);
       faults.run(duration);
       TimeUnit.MILLISECONDS.sleep(RECOVERY.toMillis());
