--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.parsleyhead.core.api.Endpoint;
-import org.parsleyhead.integration.fleet.Ports;
 import org.parsleyhead.integration.fleet.ProgramProcess;
 import org.parsleyhead.platform.standin.Documents;
 import org.parsleyhead.platform.standin.RunLedger;
@@ -39,6 +38,7 @@
   private final Path directory;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final SoakPorts ports = new SoakPorts();
   private final RunLedger ledger = new RunLedger();
   private final StoreStandin store;
   private final List<Host> hosts = new ArrayList<>();
@@ -49,23 +49,23 @@
 
   SoakFleet(Path directory, int hostCount, int engineCount) {
     this.directory = directory;
-    Endpoint storeAt = Endpoint.parse(Ports.free(1).get(0));
+    Endpoint storeAt = Endpoint.parse(ports.take(1).get(0));
     this.store = new StoreStandin(group, storeAt);
     for (int index = 0; index < PLAIN_SERVERS + engineCount; index++) {
       addServer(index >= PLAIN_SERVERS);
     }
     issueKey("key-0", "account-0");
     List<String> seeds = new ArrayList<>();
-    List<List<String>> ports = new ArrayList<>();
+    List<List<String>> ofHosts = new ArrayList<>();
     for (int index = 0; index < hostCount; index++) {
-      List<String> free = Ports.free(4);
-      ports.add(free);
+      List<String> free = ports.take(4);
+      ofHosts.add(free);
       if (index < 3) {
         seeds.add(free.get(2));
       }
     }
     for (int index = 0; index < hostCount; index++) {
-      hosts.add(new Host("host-" + index, ports.get(index), seeds, storeAt));
+      hosts.add(new Host("host-" + index, ofHosts.get(index), seeds, storeAt));
     }
     hosts.forEach(host -> host.start(true));
   }
@@ -94,7 +94,7 @@
 
   /** Adds a server. */
   synchronized void addServer(boolean engine) {
-    List<String> free = Ports.free(2);
+    List<String> free = ports.take(2);
     ServerStandin standin =
         new ServerStandin(
             group, Endpoint.parse(free.get(0)), "i-" + serverNumber++, engine, ledger);
@@ -159,21 +159,21 @@
   final class Host {
 
     private final String name;
-    private final List<String> ports;
+    private final List<String> own;
     private final List<String> seeds;
     private final FaultProxy storeProxy;
     private final List<long[]> disturbances = new ArrayList<>();
     private ProgramProcess process;
     private int starts;
 
-    Host(String name, List<String> ports, List<String> seeds, Endpoint storeAt) {
+    Host(String name, List<String> own, List<String> seeds, Endpoint storeAt) {
       this.name = name;
-      this.ports = ports;
+      this.own = own;
       this.seeds = seeds;
       this.storeProxy =
           new FaultProxy(
               name,
-              Endpoint.parse(Ports.free(1).get(0)),
+              Endpoint.parse(ports.take(1).get(0)),
               storeAt,
               ProxyFault.NONE,
               group,
@@ -186,7 +186,7 @@
     }
 
     Endpoint callers() {
-      return Endpoint.parse(ports.get(0));
+      return Endpoint.parse(own.get(0));
     }
 
     FaultProxy storeProxy() {
@@ -265,12 +265,12 @@
           """
               .formatted(
                   name,
-                  ports.get(0),
-                  ports.get(1),
-                  ports.get(2),
+                  own.get(0),
+                  own.get(1),
+                  own.get(2),
                   String.join("\", \"", seeds),
                   first,
-                  ports.get(3),
+                  own.get(3),
                   storeProxy.endpoint());
       try {
         return Files.writeString(directory.resolve(name + ".toml"), text);
