Bytes without end, late copies, silent streams, and events that fail

Causes, each shown by a test on the former sources: - Interim responses, responses to other requests and the body of such a response were read without a bound, and an event without end was kept without one (and searched again from its start for each piece). UpstreamClientTests: 4 of 13 endless cases failed. - A request that was sent again on the same connection, or an error response without an identifier on a reused connection, could be answered by a late copy (2 tests failed). - A resumable stream that was silent for 1.2 s was cut even if no other server could take it, and then aborted. Change: UnansweredByteLimit, ResponseMemory (24 MiB for all attempts; the largest ends first), an incremental splitter, Progress grouped into Assignment and AttemptHistory.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -124,7 +124,7 @@
         time,
         time.plus(limit),
         request.work().map(PrefixCacheEstimate::prefixHashes).orElse(List.of()),
-        Progress.initial(time));
+        Progress.INITIAL);
   }
 
   private static double units(AccountLimits limits, ServingRequest request) {
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Assignment.java
@@ -0,0 +1,30 @@
+package org.parsleyhead.core.dispatch;
+
+import java.util.Optional;
+
+/**
+ * The phase of an active request and the instance that it is assigned to.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param phase the current phase
+ * @param instance the identifier of the chosen instance; empty while the request waits
+ * @param addedLoad the load that the request adds to its instance
+ */
+record Assignment(Phase phase, Optional<String> instance, InstanceLoad addedLoad) {
+
+  static final Assignment WAITING =
+      new Assignment(Phase.WAITING, Optional.empty(), InstanceLoad.NONE);
+
+  static Assignment loading(String instance) {
+    return new Assignment(Phase.LOADING, Optional.of(instance), InstanceLoad.NONE);
+  }
+
+  static Assignment sent(String instance, InstanceLoad addedLoad) {
+    return new Assignment(Phase.SENT, Optional.of(instance), addedLoad);
+  }
+
+  Assignment withAddedLoad(InstanceLoad load) {
+    return new Assignment(phase, instance, load);
+  }
+}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -38,6 +38,18 @@
         .withRequest(active.with(active.progress().withResponseStarted()));
   }
 
+  /** Resumes a silent stream at another server if one can take it at once; else it stays. */
+  Step<DispatchState, DispatchEffect> onStreamSilent(
+      DispatchState state, DispatchEvent.StreamSilent silent, MonotonicTime time) {
+    ActiveRequest active = state.requests().get(silent.requestKey());
+    if (active == null
+        || active.progress().phase() != Phase.SENT
+        || active.progress().attempts() != silent.attempt()) {
+      return Step.of(state);
+    }
+    return dispatcher.leaveSilentServer(state, active, time).orElse(Step.of(state));
+  }
+
   Step<DispatchState, DispatchEffect> onAttemptEnded(
       DispatchState state, DispatchEvent.AttemptEnded ended, MonotonicTime time) {
     ActiveRequest active = state.requests().get(ended.requestKey());
@@ -105,8 +117,16 @@
   }
 
   private static Progress progress(ActiveRequest active, AttemptResult result) {
-    boolean exclude = result.outcome() != AttemptOutcome.MISDIRECTED;
-    Progress ended = active.progress().withAttemptEnded(result.outcome().notRun(), exclude);
+    String instance = active.progress().instance().orElseThrow();
+    AttemptHistory history = active.progress().history();
+    AttemptHistory counted = result.outcome().notRun() ? history.withoutRun() : history;
+    Progress ended =
+        active
+            .progress()
+            .withAttemptEnded(
+                result.outcome() == AttemptOutcome.MISDIRECTED
+                    ? counted.withMisdirected(instance)
+                    : counted.withExcluded(instance));
     return result.responseStarted() && !ended.responseStarted()
         ? ended.withResponseStarted()
         : ended;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -60,4 +60,13 @@
   /** Reports that the request completed with a whole response. */
   record Finished(ServingRequest request, int attempts, Duration elapsed)
       implements DispatchEffect {}
+
+  /**
+   * Reports that an event of a request could not be handled, which ended the request.
+   *
+   * @param event the type of the event
+   * @param failure the unexpected failure
+   */
+  record EventFailed(String event, long requestKey, RuntimeException failure)
+      implements DispatchEffect {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -18,6 +18,12 @@
   /** The first part of a response was written to the caller. */
   record ResponseStarted(long requestKey, int attempt) implements DispatchEvent {}
 
+  /**
+   * A stream that has started and can be resumed has had no complete event for some time; repeated
+   * while it stays silent.
+   */
+  record StreamSilent(long requestKey, int attempt) implements DispatchEvent {}
+
   /** An attempt at an instance ended. */
   record AttemptEnded(long requestKey, int attempt, AttemptResult result)
       implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
@@ -53,6 +53,8 @@
     TIMED_OUT(504),
     /** The instance failed; the request may have run. */
     UPSTREAM_FAILED(502),
+    /** This host failed unexpectedly; the request may have run. */
+    INTERNAL_ERROR(500),
     /** This host is stopping, and the request has not run. */
     STOPPING(503),
     /** This host is overloaded, and the request has not run. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -51,6 +51,9 @@
     if (event instanceof DispatchEvent.ResponseStarted started) {
       return Step.of(attemptEvents.onResponseStarted(state, started, time));
     }
+    if (event instanceof DispatchEvent.StreamSilent silent) {
+      return attemptEvents.onStreamSilent(state, silent, time);
+    }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return attemptEvents.onAttemptEnded(state, ended, time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -1,9 +1,6 @@
 package org.parsleyhead.core.dispatch;
 
 import java.util.Optional;
-import java.util.Set;
-import org.parsleyhead.core.api.MonotonicTime;
-import org.pcollections.HashTreePSet;
 import org.pcollections.PSet;
 
 /**
@@ -11,161 +8,99 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param phase the current phase
- * @param phaseStartedAt when the phase started
- * @param instance the identifier of the chosen instance
- * @param attempts the number of attempts that were sent
- * @param possibleRuns the number of attempts that may have run
- * @param addedLoad the load that the request adds to its instance
+ * @param assignment the current phase and instance
+ * @param history the attempts so far
  * @param responseStarted whether a part of the response was written to the caller
- * @param excludedInstances the instances that must not be chosen again
  * @param loadRequests the number of load requests
  * @param wakeNumber the number of the newest wake event; older events are ignored
  */
 record Progress(
-    Phase phase,
-    MonotonicTime phaseStartedAt,
-    Optional<String> instance,
-    int attempts,
-    int possibleRuns,
-    InstanceLoad addedLoad,
+    Assignment assignment,
+    AttemptHistory history,
     boolean responseStarted,
-    PSet<String> excludedInstances,
     int loadRequests,
     int wakeNumber) {
 
-  static Progress initial(MonotonicTime time) {
-    return new Progress(
-        Phase.WAITING,
-        time,
-        Optional.empty(),
-        0,
-        0,
-        InstanceLoad.NONE,
-        false,
-        HashTreePSet.empty(),
-        0,
-        0);
+  static final Progress INITIAL =
+      new Progress(Assignment.WAITING, AttemptHistory.NONE, false, 0, 0);
+
+  Phase phase() {
+    return assignment.phase();
   }
 
-  Progress loading(String target, MonotonicTime time) {
-    return new Progress(
-        Phase.LOADING,
-        time,
-        Optional.of(target),
-        attempts,
-        possibleRuns,
-        InstanceLoad.NONE,
-        responseStarted,
-        excludedInstances,
-        loadRequests + 1,
-        wakeNumber + 1);
+  Optional<String> instance() {
+    return assignment.instance();
+  }
+
+  InstanceLoad addedLoad() {
+    return assignment.addedLoad();
   }
 
-  Progress waiting(MonotonicTime time) {
+  int attempts() {
+    return history.attempts();
+  }
+
+  int possibleRuns() {
+    return history.possibleRuns();
+  }
+
+  PSet<String> excludedInstances() {
+    return history.excluded();
+  }
+
+  Progress loading(String target) {
     return new Progress(
-        Phase.WAITING,
-        time,
-        Optional.empty(),
-        attempts,
-        possibleRuns,
-        InstanceLoad.NONE,
-        responseStarted,
-        excludedInstances,
-        loadRequests,
-        wakeNumber + 1);
+        Assignment.loading(target), history, responseStarted, loadRequests + 1, wakeNumber + 1);
+  }
+
+  Progress waiting() {
+    return new Progress(Assignment.WAITING, history, responseStarted, loadRequests, wakeNumber + 1);
   }
 
-  Progress sent(String target, InstanceLoad load, MonotonicTime time) {
+  Progress sent(String target, InstanceLoad load) {
     return new Progress(
-        Phase.SENT,
-        time,
-        Optional.of(target),
-        attempts + 1,
-        possibleRuns + 1,
-        load,
+        Assignment.sent(target, load),
+        history.withSent(),
         responseStarted,
-        excludedInstances,
         loadRequests,
         wakeNumber + 1);
   }
 
   /** Returns this progress after the response has started, by when the prompt is processed. */
   Progress withResponseStarted() {
+    InstanceLoad unread = new InstanceLoad(0, addedLoad().pendingPromptTokens(), 0);
     return new Progress(
-        phase,
-        phaseStartedAt,
-        instance,
-        attempts,
-        possibleRuns,
-        new InstanceLoad(addedLoad.running(), 0, addedLoad.reservedTokens()),
+        assignment.withAddedLoad(addedLoad().minus(unread)),
+        history,
         true,
-        excludedInstances,
         loadRequests,
         wakeNumber);
   }
 
   /**
-   * Returns this progress after the attempt has ended.
+   * Returns this progress after the attempt has ended and its load was released.
    *
-   * @param notRun whether the request is known not to have run in this attempt
-   * @param exclude whether the instance must not be chosen again
+   * @param next the attempts including the outcome of this one
    */
-  Progress withAttemptEnded(boolean notRun, boolean exclude) {
+  Progress withAttemptEnded(AttemptHistory next) {
     return new Progress(
-        phase,
-        phaseStartedAt,
-        instance,
-        attempts,
-        notRun ? possibleRuns - 1 : possibleRuns,
-        InstanceLoad.NONE,
+        assignment.withAddedLoad(InstanceLoad.NONE),
+        next,
         responseStarted,
-        exclude && instance.isPresent()
-            ? excludedInstances.plus(instance.get())
-            : excludedInstances,
         loadRequests,
         wakeNumber + 1);
   }
 
   Progress withoutExclusions() {
     return new Progress(
-        phase,
-        phaseStartedAt,
-        instance,
-        attempts,
-        possibleRuns,
-        addedLoad,
-        responseStarted,
-        HashTreePSet.from(Set.of()),
-        loadRequests,
-        wakeNumber);
+        assignment, history.withoutExclusions(), responseStarted, loadRequests, wakeNumber);
   }
 
   Progress withoutLoadRequests() {
-    return new Progress(
-        phase,
-        phaseStartedAt,
-        instance,
-        attempts,
-        possibleRuns,
-        addedLoad,
-        responseStarted,
-        excludedInstances,
-        0,
-        wakeNumber);
+    return new Progress(assignment, history, responseStarted, 0, wakeNumber);
   }
 
   Progress withNextWake() {
-    return new Progress(
-        phase,
-        phaseStartedAt,
-        instance,
-        attempts,
-        possibleRuns,
-        addedLoad,
-        responseStarted,
-        excludedInstances,
-        loadRequests,
-        wakeNumber + 1);
+    return new Progress(assignment, history, responseStarted, loadRequests, wakeNumber + 1);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -180,7 +180,7 @@
     InstanceView view = candidate.view();
     Optional<ModelWork> work = active.request().work();
     InstanceLoad addedLoad = addedLoad(active, view);
-    Progress progress = active.progress().sent(view.identifier(), addedLoad, time);
+    Progress progress = active.progress().sent(view.identifier(), addedLoad);
     InstanceView updated = view.withOwnLoad(view.ownLoad().plus(addedLoad));
     if (work.isPresent()) {
       long capacity = cacheTokens(state, active.service());
@@ -219,11 +219,11 @@
           ? RequestCompletion.fail(state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, time)
           : scheduleWake(
               state,
-              active.with(active.progress().withoutLoadRequests().waiting(time)),
+              active.with(active.progress().withoutLoadRequests().waiting()),
               SLOT_RETRY_DELAY);
     }
     AdapterKey adapter = active.request().work().orElseThrow().adapter();
-    ActiveRequest loading = active.with(active.progress().loading(view.identifier(), time));
+    ActiveRequest loading = active.with(active.progress().loading(view.identifier()));
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
@@ -244,21 +244,20 @@
     return elapsed.plus(delay).compareTo(RequestTimeouts.loadTimeout(active)) > 0
         ? RequestCompletion.fail(
             state, active, DispatchRefusal.Code.ADAPTER_UNAVAILABLE, delay, time)
-        : scheduleWake(state, active.with(active.progress().waiting(time)), OWNER_RETRY_DELAY);
+        : scheduleWake(state, active.with(active.progress().waiting()), OWNER_RETRY_DELAY);
   }
 
   private Step<DispatchState, DispatchEffect> awaitLoad(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     AdapterKey adapter = active.request().work().orElseThrow().adapter();
     Duration delay = view.adapters().readyAt().get(adapter).since(time);
-    return scheduleWake(
-        state, active.with(active.progress().loading(view.identifier(), time)), delay);
+    return scheduleWake(state, active.with(active.progress().loading(view.identifier())), delay);
   }
 
   private Step<DispatchState, DispatchEffect> awaitInstance(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     if (!active.progress().excludedInstances().isEmpty() && active.progress().possibleRuns() == 0) {
-      ActiveRequest retried = active.with(active.progress().withoutExclusions().waiting(time));
+      ActiveRequest retried = active.with(active.progress().withoutExclusions().waiting());
       return scheduleWake(state, retried, INSTANCE_RETRY_DELAY);
     }
     return RequestCompletion.fail(state, active, DispatchRefusal.Code.NO_INSTANCE, time);
@@ -295,13 +294,7 @@
       return scheduleWake(
           state, active.with(active.progress().withNextWake()), active.deadline().since(time));
     }
-    DispatchState penalized =
-        state.withInstances(
-            state
-                .instances()
-                .update(
-                    active.progress().instance().orElseThrow(),
-                    view -> view.withHealth(view.health().failed(time, true))));
+    DispatchState penalized = withSilentAttempt(state, active, time);
     return redispatchSilent(penalized, active, time)
         .orElseGet(
             () ->
@@ -311,6 +304,27 @@
                     RequestTimeouts.nextSilenceCheckDelay(active, time)));
   }
 
+  /**
+   * Leaves a server whose stream has become silent for one that can accept the request at once;
+   * empty if there is none.
+   */
+  Optional<Step<DispatchState, DispatchEffect>> leaveSilentServer(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return active.mayRunAgain()
+        ? redispatchSilent(withSilentAttempt(state, active, time), active, time)
+        : Optional.empty();
+  }
+
+  private static DispatchState withSilentAttempt(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return state.withInstances(
+        state
+            .instances()
+            .update(
+                active.progress().instance().orElseThrow(),
+                view -> view.withHealth(view.health().failed(time, true))));
+  }
+
   /**
    * Sends a request to another server if that can accept it without a load. Otherwise the request
    * stays with its silent server, which may still respond.
@@ -321,7 +335,10 @@
       return Optional.empty();
     }
     DispatchState released = RequestCompletion.withoutAddedLoad(state, active);
-    ActiveRequest unassigned = active.with(active.progress().withAttemptEnded(false, true));
+    String silent = active.progress().instance().orElseThrow();
+    ActiveRequest unassigned =
+        active.with(
+            active.progress().withAttemptEnded(active.progress().history().withExcluded(silent)));
     DispatchEffect cancel =
         new DispatchEffect.CancelAttempt(active.request(), active.progress().attempts(), "silent");
     return choice
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -159,6 +159,38 @@
       assertNotEquals(send.instance().identifier(), second.instance().identifier());
     }
 
+    @Test
+    @DisplayName("resumes a silent stream at another instance that can take it at once")
+    void resumesSilentStream() {
+      DispatchEffect.Send send = host.send("/chat/x", work(ADAPTER));
+      host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+      List<DispatchEffect> effects =
+          host.apply(new DispatchEvent.StreamSilent(send.request().key(), 1));
+      only(effects, DispatchEffect.CancelAttempt.class);
+      assertNotEquals(
+          send.instance().identifier(),
+          only(effects, DispatchEffect.Send.class).instance().identifier());
+    }
+
+    @Test
+    @DisplayName("keeps a slow stream while no other instance can take it")
+    void keepsSlowStream() {
+      host.apply(new DispatchEvent.InstanceRemoved("e2"));
+      host.advance(Duration.ofSeconds(2));
+      DispatchEffect.Send send = host.send("/chat/x", work(ADAPTER));
+      host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+      assertEquals(List.of(), host.apply(new DispatchEvent.StreamSilent(send.request().key(), 1)));
+      assertEquals(1, host.state().activeRequests());
+    }
+
+    @Test
+    @DisplayName("keeps a slow stream that is not resumable")
+    void keepsSlowStreamThatIsNotResumable() {
+      DispatchEffect.Send send = host.send("/audit/x", work(ADAPTER));
+      host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+      assertEquals(List.of(), host.apply(new DispatchEvent.StreamSilent(send.request().key(), 1)));
+    }
+
     @Test
     @DisplayName("aborts a stream that is not resumable")
     void aborts() {
@@ -379,6 +411,27 @@
           DispatchEffect.Send.class);
     }
 
+    @Test
+    @DisplayName("leaves a server that answers twice that it lacks the adapter")
+    void leavesServerThatLacksAdapter() {
+      List<DispatchEffect> effects = host.receive("/chat/x", work(UNLOADED_ADAPTER));
+      String first = only(effects, DispatchEffect.RequestLoad.class).instance();
+      effects =
+          host.apply(
+              new DispatchEvent.LoadOrdered(first, UNLOADED_ADAPTER, Duration.ofMillis(250)));
+      for (int misdirected = 0; misdirected < 2; misdirected++) {
+        DispatchEffect.WakeAfter wake = only(effects, DispatchEffect.WakeAfter.class);
+        host.advance(wake.delay());
+        DispatchEffect.Send send =
+            only(
+                host.apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber())),
+                DispatchEffect.Send.class);
+        assertEquals(first, send.instance().identifier());
+        effects = host.end(send, AttemptOutcome.MISDIRECTED, false);
+      }
+      assertNotEquals(first, only(effects, DispatchEffect.RequestLoad.class).instance());
+    }
+
     @Test
     @DisplayName("waits for a free adapter slot before it requests the load again")
     void waitsForSlot() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -29,13 +29,10 @@
   private static final EventLog LOG = new EventLog("dispatch");
   private static final byte[] NO_CONTENT = new byte[0];
 
-  /** The delay after which an event that did not fit into the ring is offered again. */
-  private static final long FULL_RING_RETRY_MILLISECONDS = 20;
-
   private final EventLoop eventLoop;
   private final HttpDialect dialect;
   private final UpstreamClient upstreams;
-  private final Ring<DispatchEvent> dispatch;
+  private final DispatchEventSender dispatch;
   private final Ring<FleetEvent> fleet;
   private final GatewayMetrics metrics;
   private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -44,7 +41,7 @@
       EventLoop eventLoop,
       HttpDialect dialect,
       UpstreamClient upstreams,
-      Ring<DispatchEvent> dispatch,
+      DispatchEventSender dispatch,
       Ring<FleetEvent> fleet,
       GatewayMetrics metrics) {
     this.eventLoop = eventLoop;
@@ -71,7 +68,7 @@
   @Override
   public void callerDisconnected(Exchange exchange) {
     exchanges.remove(exchange.request().key());
-    offerUntilAccepted(new DispatchEvent.CallerDisconnected(exchange.request().key()));
+    dispatch.send(new DispatchEvent.CallerDisconnected(exchange.request().key()));
   }
 
   @Override
@@ -79,11 +76,6 @@
     LOG.request("rejected", "status", status, "reason", reason);
   }
 
-  /** Passes an event of an attempt to the dispatch duty. */
-  void attemptEvent(DispatchEvent event) {
-    offerUntilAccepted(event);
-  }
-
   @Override
   public void accept(DispatchEffect effect) {
     if (effect instanceof DispatchEffect.RequestLoad load) {
@@ -96,8 +88,7 @@
           "adapter",
           load.adapter());
       if (!fleet.offer(new FleetEvent.LoadNeeded(load.instance(), load.adapter()))) {
-        offerUntilAccepted(
-            new DispatchEvent.LoadRefused(load.instance(), load.adapter(), "ring_full"));
+        dispatch.send(new DispatchEvent.LoadRefused(load.instance(), load.adapter(), "ring_full"));
       }
       return;
     }
@@ -127,6 +118,10 @@
       removeExchange(abort.request().key()).ifPresent(Exchange::abort);
       LOG.request("broken_off", "request", abort.request().identifier(), "reason", abort.reason());
       metrics.responseAborted();
+    } else if (effect instanceof DispatchEffect.EventFailed failed) {
+      metrics.dutyFailed("dispatch");
+      LOG.failure(
+          "event_failed", failed.failure(), "event", failed.event(), "key", failed.requestKey());
     } else if (effect instanceof DispatchEffect.Finished finished) {
       removeExchange(finished.request().key());
       LOG.request(
@@ -143,7 +138,7 @@
 
   private void wakeAfter(DispatchEffect.WakeAfter wake) {
     eventLoop.schedule(
-        () -> offerUntilAccepted(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber())),
+        () -> dispatch.send(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber())),
         Math.max(0, wake.delay().toNanos()),
         TimeUnit.NANOSECONDS);
   }
@@ -200,12 +195,4 @@
   private Optional<Exchange> removeExchange(long key) {
     return Optional.ofNullable(exchanges.remove(key));
   }
-
-  /** Offers an event that must not be lost; retries while the ring is full. */
-  private void offerUntilAccepted(DispatchEvent event) {
-    if (!dispatch.offer(event)) {
-      eventLoop.schedule(
-          () -> offerUntilAccepted(event), FULL_RING_RETRY_MILLISECONDS, TimeUnit.MILLISECONDS);
-    }
-  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.parsleyhead.core.dispatch.DispatchSettings;
 import org.parsleyhead.core.dispatch.DispatchState;
 import org.parsleyhead.core.dispatch.DispatchTransition;
+import org.parsleyhead.core.dispatch.FailureIsolation;
 import org.parsleyhead.core.dispatch.StopStage;
 import org.parsleyhead.core.fleet.FleetEffect;
 import org.parsleyhead.core.fleet.FleetEvent;
@@ -148,17 +149,17 @@
             eventLoops,
             new PeerReceiver(fleetRing, publicationRing));
     EventLoop eventLoop = eventLoops.next();
+    DispatchEventSender dispatchEvents = new DispatchEventSender(dispatchRing, eventLoop);
     UpstreamClient upstreams =
-        new UpstreamClient(
-            platform.dialect(), event -> offerUntilAccepted(dispatchRing, event), eventLoops);
+        new UpstreamClient(platform.dialect(), dispatchEvents::send, eventLoops);
     DispatchEffectExecutor dispatchExecutor =
         new DispatchEffectExecutor(
-            eventLoop, platform.dialect(), upstreams, dispatchRing, fleetRing, metrics);
+            eventLoop, platform.dialect(), upstreams, dispatchEvents, fleetRing, metrics);
     this.dispatch =
         new Duty<>(
             dispatchRing,
             DispatchState.initial(),
-            new DispatchTransition(dispatchSettings(settings)),
+            new FailureIsolation(new DispatchTransition(dispatchSettings(settings))),
             dispatchExecutor,
             DispatchEvent.Tick::new,
             DISPATCH_TICK_INTERVAL,
@@ -292,12 +293,6 @@
         state.adapterUse());
   }
 
-  private void offerUntilAccepted(Ring<DispatchEvent> ring, DispatchEvent event) {
-    if (!ring.offer(event)) {
-      eventLoops.execute(() -> offerUntilAccepted(ring, event));
-    }
-  }
-
   private void dutyFailed(String duty, Throwable failure) {
     metrics.dutyFailed(duty);
     LOG.failure("duty_failed", failure, "duty", duty);
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
@@ -30,8 +30,11 @@
 
   private final Map<String, Deque<IdleConnection>> byInstance = new HashMap<>();
 
-  /** Acquires the most recently used connection unless it has been idle for too long. */
-  Optional<Channel> acquire(Instance instance, Duration maximumIdle) {
+  /**
+   * Acquires the most recently used connection unless it has been idle for too long or was last
+   * used by the same request: a late copy of the first response could not be told from the second.
+   */
+  Optional<Channel> acquire(Instance instance, String request, Duration maximumIdle) {
     Deque<IdleConnection> connections = byInstance.get(key(instance));
     if (connections == null) {
       return Optional.empty();
@@ -40,7 +43,10 @@
     while (!connections.isEmpty()) {
       IdleConnection connection = connections.peekLast();
       boolean usable = connection.channel().isActive() && now < connection.usableUntil();
-      if (usable && now - connection.idleSince() > maximumIdle.toNanos()) {
+      boolean suitable =
+          now - connection.idleSince() <= maximumIdle.toNanos()
+              && !connection.lastRequest().equals(request);
+      if (usable && !suitable) {
         return Optional.empty();
       }
       connections.pollLast();
@@ -53,13 +59,17 @@
     return Optional.empty();
   }
 
-  /** Makes a connection available to later requests. */
-  void release(Instance instance, Channel channel, Duration keepAliveTimeout) {
+  /**
+   * Makes a connection available to later requests.
+   *
+   * @param lastRequest the identifier of the request that used it last
+   */
+  void release(Instance instance, Channel channel, String lastRequest, Duration keepAliveTimeout) {
     Deque<IdleConnection> connections =
         byInstance.computeIfAbsent(key(instance), key -> new ArrayDeque<>());
     long now = System.nanoTime();
     long usableNanoseconds = (long) (keepAliveTimeout.toNanos() * USABLE_FRACTION);
-    connections.addLast(new IdleConnection(channel, now, now + usableNanoseconds));
+    connections.addLast(new IdleConnection(channel, lastRequest, now, now + usableNanoseconds));
     if (connections.size() > MAXIMUM_IDLE_PER_INSTANCE) {
       connections.pollFirst().channel().close();
     }
@@ -88,8 +98,10 @@
    * An idle connection.
    *
    * @param channel the channel of the connection
+   * @param lastRequest the identifier of the request that used it last
    * @param idleSince when it was released, by {@link System#nanoTime()}
    * @param usableUntil when it is no longer used, by {@link System#nanoTime()}
    */
-  private record IdleConnection(Channel channel, long idleSince, long usableUntil) {}
+  private record IdleConnection(
+      Channel channel, String lastRequest, long idleSince, long usableUntil) {}
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/ServerSentEventSplitter.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/ServerSentEventSplitter.java
@@ -1,7 +1,7 @@
 package org.parsleyhead.gateway.upstreams;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -13,47 +13,62 @@
 final class ServerSentEventSplitter {
 
   private static final String IDENTIFIER_FIELD = "id:";
+  private static final int INITIAL_BUFFER_BYTES = 512;
+  private static final byte[] NO_EVENTS = new byte[0];
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private byte[] pending = new byte[INITIAL_BUFFER_BYTES];
+  private int pendingBytes;
   private Optional<String> lastIdentifier = Optional.empty();
 
-  /** Appends bytes and returns all events that are now complete; empty if there are none. */
+  /**
+   * Appends bytes and returns all events that are now complete; empty if there are none. Only the
+   * new bytes are searched, so that an event may arrive in any number of pieces.
+   */
   byte[] split(byte[] bytes) {
-    pending.writeBytes(bytes);
-    byte[] buffered = pending.toByteArray();
-    int end = endOfLastEvent(buffered);
+    int searchedBytes = pendingBytes;
+    append(bytes);
+    int end = endOfLastEvent(searchedBytes);
     if (end == 0) {
-      return new byte[0];
+      return NO_EVENTS;
     }
-    byte[] complete = java.util.Arrays.copyOf(buffered, end);
-    pending.reset();
-    pending.write(buffered, end, buffered.length - end);
+    byte[] complete = Arrays.copyOf(pending, end);
+    pendingBytes -= end;
+    pending = Arrays.copyOfRange(pending, end, end + Math.max(INITIAL_BUFFER_BYTES, pendingBytes));
     updateLastIdentifier(complete);
     return complete;
   }
 
+  private void append(byte[] bytes) {
+    int needed = pendingBytes + bytes.length;
+    if (needed > pending.length) {
+      pending = Arrays.copyOf(pending, Math.max(needed, 2 * pending.length));
+    }
+    System.arraycopy(bytes, 0, pending, pendingBytes, bytes.length);
+    pendingBytes = needed;
+  }
+
   /** Returns the identifier of the last complete event that had one. */
   Optional<String> lastIdentifier() {
     return lastIdentifier;
   }
 
-  /** Returns whether an incomplete event is buffered. */
-  boolean hasPartialEvent() {
-    return pending.size() > 0;
+  /** Returns the number of buffered bytes of an incomplete event; 0 if there is none. */
+  int pendingBytes() {
+    return pendingBytes;
   }
 
-  private static int endOfLastEvent(byte[] bytes) {
-    for (int index = bytes.length - 1; index > 0; index--) {
-      if (bytes[index] == '\n' && endsBlankLine(bytes, index)) {
+  private int endOfLastEvent(int searchedBytes) {
+    for (int index = pendingBytes - 1; index >= Math.max(1, searchedBytes); index--) {
+      if (pending[index] == '\n' && endsBlankLine(index)) {
         return index + 1;
       }
     }
     return 0;
   }
 
-  private static boolean endsBlankLine(byte[] bytes, int lineFeed) {
-    int before = bytes[lineFeed - 1] == '\r' ? lineFeed - 2 : lineFeed - 1;
-    return before >= 0 && bytes[before] == '\n';
+  private boolean endsBlankLine(int lineFeed) {
+    int before = pending[lineFeed - 1] == '\r' ? lineFeed - 2 : lineFeed - 1;
+    return before >= 0 && pending[before] == '\n';
   }
 
   private void updateLastIdentifier(byte[] events) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -48,14 +48,21 @@
   /** Applies to connections whose server announces no keep-alive timeout. */
   private static final Duration DEFAULT_KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(3);
 
-  /** The time without events after which a stream that can be resumed is considered broken. */
+  /** The maximum size of one event of a stream. */
+  private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
+  /** The time without events after which a stream that can be resumed is reported as silent. */
   private static final Duration STREAM_SILENCE_TIMEOUT = Duration.ofMillis(1_200);
 
+  /** The interval at which a stream that stays silent is reported again. */
+  private static final Duration STREAM_SILENCE_INTERVAL = Duration.ofMillis(400);
+
   private final DispatchEffect.Send send;
   private final Exchange exchange;
   private final HttpDialect dialect;
   private final AttemptListener listener;
   private final IdleConnectionPool idlePool;
+  private final ResponseMemory responseMemory;
   private final BiConsumer<UpstreamAttempt, AttemptResult> onEnd;
   private final ServerSentEventSplitter events = new ServerSentEventSplitter();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
@@ -68,6 +75,7 @@
   private boolean ended;
   private boolean streamStarted;
   private boolean reusable = true;
+  private boolean reusedConnection;
   private long lastEventNanoseconds;
   private Future<?> silenceTimeout;
 
@@ -77,12 +85,14 @@
       HttpDialect dialect,
       AttemptListener listener,
       IdleConnectionPool idlePool,
+      ResponseMemory responseMemory,
       BiConsumer<UpstreamAttempt, AttemptResult> onEnd) {
     this.send = send;
     this.exchange = exchange;
     this.dialect = dialect;
     this.listener = listener;
     this.idlePool = idlePool;
+    this.responseMemory = responseMemory;
     this.onEnd = onEnd;
   }
 
@@ -109,11 +119,17 @@
     LOG.request(event, fields.toArray());
   }
 
-  /** Writes the request to a connection. */
-  void write(Channel connected) {
+  /**
+   * Writes the request to a connection.
+   *
+   * @param reused whether the connection was used by an earlier request
+   */
+  void write(Channel connected, boolean reused) {
     channel = connected;
+    reusedConnection = reused;
     if (cancelled || exchange.ended()) {
-      idlePool.release(send.instance(), connected, DEFAULT_KEEP_ALIVE_TIMEOUT);
+      idlePool.release(
+          send.instance(), connected, send.request().identifier(), DEFAULT_KEEP_ALIVE_TIMEOUT);
       connected.pipeline().addLast(new IdleConnectionHandler(send.instance(), idlePool));
       end(UpstreamClient.notSent("caller_left"));
       return;
@@ -135,6 +151,7 @@
     if (length > 0 || !MessageHeads.hasNoBody(head)) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
     }
+    UnansweredByteLimit.requestWritten(connected);
     connected.writeAndFlush(request, connected.voidPromise());
   }
 
@@ -146,7 +163,7 @@
   void cancel() {
     cancelled = true;
     ended = true;
-    cancelSilenceTimeout();
+    releaseResources();
     if (channel != null) {
       channel.close();
     }
@@ -180,6 +197,7 @@
         idlePool.release(
             send.instance(),
             context.channel(),
+            send.request().identifier(),
             MessageHeads.keepAliveTimeout(response).orElse(DEFAULT_KEEP_ALIVE_TIMEOUT));
       } else {
         context.close();
@@ -211,6 +229,10 @@
     }
     ResponseHead parsed = dialect.readResponse(head);
     boolean identified = parsed.requestIdentifier().isPresent();
+    if (!identified && reusedConnection) {
+      endBroken("unidentified_response");
+      return;
+    }
     boolean matchesRequest =
         identified
             ? parsed.requestIdentifier().get().equals(send.request().identifier())
@@ -221,6 +243,7 @@
       reusable = false;
       return;
     }
+    UnansweredByteLimit.responseStarted(channel);
     response = head;
     responseHead = parsed;
     boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -240,20 +263,38 @@
     content.content().readBytes(bytes);
     if (send.stream() && Exchange.isSuccess(response.status())) {
       forwardEvents(bytes);
-    } else if (bufferedBody.size() + bytes.length > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
-      endBroken("answer_too_large");
-      return;
     } else {
-      bufferedBody.writeBytes(bytes);
+      bufferBody(bytes);
     }
     if (last && !ended) {
       responseComplete();
     }
   }
 
+  private void bufferBody(byte[] bytes) {
+    if (bufferedBody.size() + bytes.length > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
+      endBroken("response_too_large");
+      return;
+    }
+    bufferedBody.writeBytes(bytes);
+    reserveMemory(bufferedBody.size());
+  }
+
+  /** Ends the attempt that buffers the most if the memory for responses is exhausted. */
+  private void reserveMemory(int bytes) {
+    responseMemory
+        .update(this, bytes)
+        .ifPresent(largest -> largest.endBroken("response_memory_full"));
+  }
+
   private void forwardEvents(byte[] bytes) {
     byte[] complete = events.split(bytes);
-    if (complete.length == 0) {
+    if (events.pendingBytes() > MAXIMUM_EVENT_BYTES) {
+      endBroken("event_too_large");
+      return;
+    }
+    reserveMemory(events.pendingBytes());
+    if (ended || complete.length == 0) {
       return;
     }
     lastEventNanoseconds = System.nanoTime();
@@ -286,7 +327,7 @@
       end(result(AttemptOutcome.COMPLETED, "answered"));
       return;
     }
-    if (events.hasPartialEvent()) {
+    if (events.pendingBytes() > 0) {
       endBroken("event_cut_off");
       return;
     }
@@ -335,7 +376,7 @@
       return;
     }
     ended = true;
-    cancelSilenceTimeout();
+    releaseResources();
     onEnd.accept(this, result);
   }
 
@@ -356,17 +397,19 @@
                   if (ended) {
                     return;
                   }
-                  if (remaining <= 0) {
-                    endBroken("silent");
-                  } else {
+                  if (remaining > 0) {
                     scheduleSilenceCheck(remaining);
+                    return;
                   }
+                  listener.accept(new DispatchEvent.StreamSilent(requestKey(), attemptNumber()));
+                  scheduleSilenceCheck(STREAM_SILENCE_INTERVAL.toNanos());
                 },
                 delayNanoseconds,
                 TimeUnit.NANOSECONDS);
   }
 
-  private void cancelSilenceTimeout() {
+  private void releaseResources() {
+    responseMemory.update(this, 0);
     if (silenceTimeout != null) {
       silenceTimeout.cancel(false);
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -38,6 +38,9 @@
    */
   private static final Duration MAXIMUM_IDLE_FOR_NON_REPEATABLE = Duration.ofMillis(400);
 
+  /** The maximum number of bytes of responses that are buffered; a part of the smallest heap. */
+  private static final long MAXIMUM_BUFFERED_BYTES = 24 << 20;
+
   private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 << 10;
   private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
   private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
@@ -46,6 +49,7 @@
   private final AttemptListener listener;
   private final EventLoopGroup eventLoops;
   private final IdleConnectionPool idlePool = new IdleConnectionPool();
+  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_BUFFERED_BYTES);
   private final Map<Long, UpstreamAttempt> activeAttempts = new HashMap<>();
 
   /** Creates a client without connections. */
@@ -58,19 +62,26 @@
   /** Starts an attempt to send a request. */
   public void send(DispatchEffect.Send send, Exchange exchange) {
     UpstreamAttempt attempt =
-        new UpstreamAttempt(send, exchange, dialect, listener, idlePool, this::attemptEnded);
+        new UpstreamAttempt(
+            send, exchange, dialect, listener, idlePool, responseMemory, this::attemptEnded);
     activeAttempts.put(send.request().key(), attempt);
     Optional<Channel> reused =
         idlePool.acquire(
             send.instance(),
+            send.request().identifier(),
             send.repeatable() ? Duration.ofHours(1) : MAXIMUM_IDLE_FOR_NON_REPEATABLE);
     if (reused.isPresent()) {
-      attempt.write(reused.get());
+      attempt.write(reused.get(), true);
     } else {
       connect(send.instance(), attempt);
     }
   }
 
+  /** Returns the bytes of responses that are buffered. */
+  long bufferedBytes() {
+    return responseMemory.totalBytes();
+  }
+
   /** Closes the connection of an attempt; nothing more of it is forwarded or reported. */
   public void cancel(long requestKey, int number) {
     UpstreamAttempt attempt = activeAttempts.get(requestKey);
@@ -91,14 +102,14 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(codec());
+                    channel.pipeline().addLast(new UnansweredByteLimit()).addLast(codec());
                   }
                 })
             .connect(instance.endpoint().address(), instance.endpoint().port());
     connected.addListener(
         done -> {
           if (done.isSuccess()) {
-            attempt.write(connected.channel());
+            attempt.write(connected.channel(), false);
           } else {
             attempt.connectFailed(done.cause());
           }
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ServerSentEventSplitterTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ServerSentEventSplitterTests.java
@@ -1,7 +1,6 @@
 package org.parsleyhead.gateway.upstreams;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -23,7 +22,7 @@
   @DisplayName("are held back until they are complete")
   void holdsBackPartialEvents() {
     assertEquals("", split("id: 1\ndata: a"));
-    assertTrue(splitter.hasPartialEvent());
+    assertTrue(splitter.pendingBytes() > 0);
     assertEquals("id: 1\ndata: a\n\n", split("\n\nid: 2"));
     assertEquals(Optional.of("1"), splitter.lastIdentifier());
   }
@@ -32,7 +31,7 @@
   @DisplayName("leave no remainder when the last one is complete")
   void leavesNoRemainder() {
     assertEquals("id: 1\n\nid: 2\ndata: id:9\n\n", split("id: 1\n\nid: 2\ndata: id:9\n\n"));
-    assertFalse(splitter.hasPartialEvent());
+    assertEquals(0, splitter.pendingBytes());
     assertEquals(Optional.of("2"), splitter.lastIdentifier());
   }
 
@@ -42,4 +41,16 @@
     assertEquals("id: 7\r\ndata: x\r\n\r\n", split("id: 7\r\ndata: x\r\n\r\n"));
     assertEquals(Optional.of("7"), splitter.lastIdentifier());
   }
+
+  @Test
+  @DisplayName("are found when they arrive byte by byte, and keep the start of the next one")
+  void acceptsSingleBytes() {
+    StringBuilder received = new StringBuilder();
+    for (char character : "id: 1\r\ndata: a\r\n\r\nid: 2\n\nid: 3".toCharArray()) {
+      received.append(split(String.valueOf(character)));
+    }
+    assertEquals("id: 1\r\ndata: a\r\n\r\nid: 2\n\n", received.toString());
+    assertEquals(Optional.of("2"), splitter.lastIdentifier());
+    assertEquals("id: 3".length(), splitter.pendingBytes());
+  }
 }
