Messages between hosts: host lists on difference, answers in heartbeats, one connection a pair

Each heartbeat to a hub carried the list of all hosts, claims stood twice, votes were a message of their own, and each direction between two hosts had a connection whose every frame was acknowledged by a frame. By samples of the core, four fifths of its time went to the selection of hubs and the search for silent hosts in each tick. Change: heartbeats carry a digest of the known hosts and of which are alive; the list goes only to a host that reported another digest, and an equal one confirms all contacts (ContactTimes). A host answers a hub in its next heartbeat; votes for all claims are one flag. Hashes of endpoints are computed once. Two hosts share one connection, and any frame acknowledges. The codes of the two messages are new, so that hosts of a former build are refused with a log line.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -22,8 +22,8 @@
 import org.parsleyhead.core.publication.PublishedItem;
 
 /**
- * The message types for gateway hosts, which operate without a published host list, codes 100 to
- * 105.
+ * The message types for gateway hosts, which operate without a published host list, codes 102 to
+ * 107. The codes 100 and 101 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -33,12 +33,12 @@
   public static final List<MessageType<?>> TYPES =
       List.of(
           new MessageType<>(
-              100,
+              106,
               Heartbeat.class,
               FleetMessageTypes::writeHeartbeat,
               FleetMessageTypes::readHeartbeat),
           new MessageType<>(
-              101,
+              107,
               HeartbeatAnswer.class,
               FleetMessageTypes::writeAnswer,
               FleetMessageTypes::readAnswer),
@@ -76,9 +76,14 @@
         .packLong(message.highestFence())
         .packBoolean(message.membershipKnown());
     packer.packInt(message.capacityPercent());
+    packer.packLong(message.membershipDigest());
     writeMap(message.hosts(), FleetMessageTypes::writeHostSummary, packer);
     writeStrings(message.claims(), packer);
-    writeStrings(message.heldInstances(), packer);
+    boolean claimsHeldInstances = message.heldInstances().equals(message.claims());
+    packer.packBoolean(claimsHeldInstances);
+    if (!claimsHeldInstances) {
+      writeStrings(message.heldInstances(), packer);
+    }
     packer.packBoolean(message.aggregated());
     writeMap(message.admittedUnits(), MessagePacker::packDouble, packer);
     writeMap(message.loads(), FleetMessageTypes::writeLoad, packer);
@@ -87,6 +92,10 @@
     for (AdapterReport report : message.reports()) {
       writeReport(report, packer);
     }
+    packer.packBoolean(message.answer().isPresent());
+    if (message.answer().isPresent()) {
+      writeAnswer(message.answer().get(), packer);
+    }
   }
 
   private static Heartbeat readHeartbeat(MessageUnpacker unpacker) throws IOException {
@@ -97,9 +106,10 @@
     long highestFence = unpacker.unpackLong();
     final boolean membershipKnown = unpacker.unpackBoolean();
     final int capacityPercent = unpacker.unpackInt();
+    final long membershipDigest = unpacker.unpackLong();
     Map<String, HostSummary> hosts = readMap(FleetMessageTypes::readHostSummary, unpacker);
     List<String> claims = readStrings(unpacker);
-    List<String> heldInstances = readStrings(unpacker);
+    List<String> heldInstances = unpacker.unpackBoolean() ? claims : readStrings(unpacker);
     final boolean aggregated = unpacker.unpackBoolean();
     Map<String, Double> admittedUnits = readMap(MessageUnpacker::unpackDouble, unpacker);
     Map<String, InstanceLoad> loads = readMap(FleetMessageTypes::readLoad, unpacker);
@@ -110,6 +120,8 @@
     for (int index = 0; index < size; index++) {
       reports.add(readReport(unpacker));
     }
+    Optional<HeartbeatAnswer> answer =
+        unpacker.unpackBoolean() ? Optional.of(readAnswer(unpacker)) : Optional.empty();
     return new Heartbeat(
         nonce,
         endpoint,
@@ -118,6 +130,7 @@
         highestFence,
         membershipKnown,
         capacityPercent,
+        membershipDigest,
         hosts,
         claims,
         heldInstances,
@@ -125,7 +138,8 @@
         admittedUnits,
         loads,
         adapterRequests,
-        reports);
+        reports,
+        answer);
   }
 
   private static void writeAnswer(HeartbeatAnswer message, MessagePacker packer)
@@ -133,7 +147,8 @@
     packer
         .packLong(message.nonce())
         .packString(message.endpoint())
-        .packLong(message.highestFence());
+        .packLong(message.highestFence())
+        .packBoolean(message.votesForAll());
     writeStrings(message.votes(), packer);
   }
 
@@ -142,6 +157,7 @@
         unpacker.unpackLong(),
         unpacker.unpackString(),
         unpacker.unpackLong(),
+        unpacker.unpackBoolean(),
         readStrings(unpacker));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/api/Rendezvous.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/api/Rendezvous.java
@@ -39,10 +39,18 @@
     return mix(hash);
   }
 
+  /**
+   * Returns the weight of a candidate for a key, from the hashes of both; the preferred candidate
+   * has the highest weight.
+   */
+  public static long weight(long keyHash, long candidateHash) {
+    return mix(keyHash ^ candidateHash);
+  }
+
   private static <C extends Comparable<? super C>> Comparator<C> preference(String key) {
     long seed = hash(key);
     Comparator<C> byWeight =
-        Comparator.comparingLong(candidate -> mix(seed ^ hash(candidate.toString())));
+        Comparator.comparingLong(candidate -> weight(seed, hash(candidate.toString())));
     return byWeight.reversed().thenComparing(Comparator.naturalOrder());
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -88,6 +88,11 @@
     return hosts.size() + 1;
   }
 
+  /** Returns whether there are so many hosts that most exchange heartbeats with hubs only. */
+  boolean large() {
+    return knownHosts() > 2 * Hubs.MAXIMUM_HUBS;
+  }
+
   /** Returns the identifiers of the instances whose lease this host holds. */
   public Collection<String> ownedInstances() {
     return engines.keySet();
@@ -105,6 +110,15 @@
     return published.versions();
   }
 
+  /** Returns a digest of the known hosts, this one included, and of which of them are alive. */
+  long membershipDigest(HostIdentity self) {
+    long digest = self.digest(!local.leaving());
+    for (HostView host : hosts.values()) {
+      digest ^= host.identity().digest(host.alive());
+    }
+    return digest;
+  }
+
   int majority() {
     return knownHosts() / 2 + 1;
   }
@@ -218,7 +232,7 @@
    * @param lastNonce the number of the last heartbeat
    * @param lastOrderNumber the number of the last order
    * @param leaving whether this process is about to stop
-   * @param heartbeatSentAt when the most recent heartbeats were sent, by their number
+   * @param sentHeartbeats the most recent heartbeats, by their number
    */
   record LocalState(
       MonotonicTime earliestClaimAt,
@@ -230,7 +244,7 @@
       long lastNonce,
       long lastOrderNumber,
       boolean leaving,
-      PMap<Long, MonotonicTime> heartbeatSentAt) {
+      PMap<Long, SentHeartbeats> sentHeartbeats) {
 
     LocalState withWallClock(long wallClock) {
       return new LocalState(
@@ -243,7 +257,7 @@
           lastNonce,
           lastOrderNumber,
           leaving,
-          heartbeatSentAt);
+          sentHeartbeats);
     }
 
     LocalState withObservedFence(long fence) {
@@ -259,11 +273,12 @@
               lastNonce,
               lastOrderNumber,
               leaving,
-              heartbeatSentAt);
+              sentHeartbeats);
     }
 
-    LocalState withNextHeartbeat(MonotonicTime time) {
-      PMap<Long, MonotonicTime> next = heartbeatSentAt.plus(lastNonce + 1, time);
+    LocalState withNextHeartbeat(List<String> claims, MonotonicTime time) {
+      PMap<Long, SentHeartbeats> next =
+          sentHeartbeats.plus(lastNonce + 1, new SentHeartbeats(time, claims));
       return new LocalState(
           earliestClaimAt,
           discoveryDeadline,
@@ -288,7 +303,7 @@
           lastNonce,
           lastOrderNumber + 1,
           leaving,
-          heartbeatSentAt);
+          sentHeartbeats);
     }
 
     LocalState withMembershipKnown() {
@@ -302,7 +317,7 @@
           lastNonce,
           lastOrderNumber,
           leaving,
-          heartbeatSentAt);
+          sentHeartbeats);
     }
 
     /** Returns whether this host may claim leases. */
@@ -323,7 +338,7 @@
           lastNonce,
           lastOrderNumber,
           true,
-          heartbeatSentAt);
+          sentHeartbeats);
     }
 
     /** Number of heartbeats whose answers are accepted; more than are sent during a lease. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.api.Step;
@@ -28,6 +29,7 @@
   private final Leases leases;
   private final EngineOrderScheduler orders;
   private final Heartbeats heartbeats;
+  private final HostIdentity self;
 
   /** Creates the transition of a host with the given settings. */
   public FleetTransition(FleetSettings settings) {
@@ -35,13 +37,15 @@
     this.leases = new Leases(settings);
     this.orders = new EngineOrderScheduler(settings, leases);
     this.heartbeats = new Heartbeats(settings, leases);
+    this.self = HostIdentity.of(settings.self());
   }
 
   @Override
   public Step<FleetState, FleetEffect> apply(
       FleetState state, FleetEvent event, MonotonicTime time) {
     if (event instanceof FleetEvent.HeartbeatReceived received) {
-      return heartbeatReceived(state, received, time);
+      return heartbeatReceived(state, received, time)
+          .andThen(next -> containedAnswer(next, received, time));
     }
     if (event instanceof FleetEvent.HeartbeatAnswered received) {
       return heartbeatAnswered(state, received, time);
@@ -140,22 +144,24 @@
     }
     Step<FleetState, String> voted =
         leases.vote(next, heartbeat.endpoint(), heartbeat.claims(), time);
+    HeartbeatAnswer answer =
+        answer(heartbeat, voted.state().local().highestFence(), voted.effects());
+    FleetState confirmed = withMembershipDigest(voted.state(), heartbeat, time);
+    boolean hub = state.hubs().contains(settings.self());
+    boolean answerLater =
+        state.large() && !hub && known.alive() && state.hubs().contains(heartbeat.endpoint());
     List<FleetEffect> effects = new ArrayList<>();
-    if (!known.alive() && !heartbeat.leaving() || !heartbeat.claims().isEmpty()) {
-      effects.add(
-          new FleetEffect.SendMessage(
-              heartbeat.endpoint(),
-              new HeartbeatAnswer(
-                  heartbeat.nonce(),
-                  settings.self(),
-                  voted.state().local().highestFence(),
-                  voted.effects())));
+    if (answerLater) {
+      HostView sender = confirmed.hosts().get(heartbeat.endpoint());
+      confirmed =
+          confirmed.withHost(sender.withExchange(sender.exchange().withAnswerDue(answer, time)));
+    } else if (!known.alive() && !heartbeat.leaving() || !heartbeat.claims().isEmpty()) {
+      effects.add(new FleetEffect.SendMessage(heartbeat.endpoint(), answer));
     }
     if (known.alive() != updated.alive()) {
       effects.add(logEvent(updated.alive() ? "host_alive" : "host_leaving", heartbeat.endpoint()));
-      effects.add(hostsChanged(voted.state()));
+      effects.add(hostsChanged(confirmed));
     }
-    boolean hub = voted.state().hubs().contains(settings.self());
     effects.add(
         new FleetEffect.PeerStatistics(
             heartbeat.endpoint(),
@@ -163,24 +169,59 @@
             heartbeat,
             heartbeat.aggregated() ? !hub : hub));
     heartbeat.reports().forEach(report -> effects.add(new FleetEffect.AdaptersReported(report)));
-    return new Step<>(voted.state(), effects);
+    return new Step<>(confirmed, effects);
+  }
+
+  private Step<FleetState, FleetEffect> containedAnswer(
+      FleetState state, FleetEvent.HeartbeatReceived received, MonotonicTime time) {
+    return received
+        .heartbeat()
+        .answer()
+        .map(
+            answer ->
+                heartbeatAnswered(
+                    state,
+                    new FleetEvent.HeartbeatAnswered(
+                        received.host(), received.incarnation(), answer),
+                    time))
+        .orElse(Step.of(state));
+  }
+
+  private HeartbeatAnswer answer(Heartbeat heartbeat, long highestFence, List<String> votes) {
+    boolean all = votes.equals(heartbeat.claims());
+    return new HeartbeatAnswer(
+        heartbeat.nonce(), settings.self(), highestFence, all, all ? List.of() : votes);
+  }
+
+  /** Records whether the sender of a heartbeat knows the same hosts, and the same of them alive. */
+  private FleetState withMembershipDigest(
+      FleetState state, Heartbeat heartbeat, MonotonicTime time) {
+    HostView sender = state.hosts().get(heartbeat.endpoint());
+    long reported = heartbeat.membershipDigest();
+    HeartbeatExchange exchange = sender.exchange();
+    return state.withHost(
+        sender.withExchange(
+            reported == state.membershipDigest(self)
+                ? exchange.withConfirmation(reported, time)
+                : exchange.withDifference(reported)));
   }
 
   private Step<FleetState, FleetEffect> heartbeatAnswered(
       FleetState state, FleetEvent.HeartbeatAnswered received, MonotonicTime time) {
     HeartbeatAnswer answer = received.answer();
     HostView known = state.hosts().get(answer.endpoint());
-    MonotonicTime sentAt = state.local().heartbeatSentAt().get(answer.nonce());
-    if (known == null || sentAt == null) {
+    SentHeartbeats sent = state.local().sentHeartbeats().get(answer.nonce());
+    if (known == null || sent == null) {
       return Step.of(state);
     }
     FleetState updated =
         state
             .withHost(known.withContact(received.incarnation(), time))
             .withLocal(state.local().withObservedFence(answer.highestFence()));
+    List<String> votes = answer.votesForAll() ? sent.claims() : answer.votes();
     Step<FleetState, FleetEffect> step =
-        leases.updateOwnership(
-            leases.countVotes(updated, answer.endpoint(), answer.votes(), sentAt), time);
+        leases.acquire(
+            leases.countVotes(updated, answer.endpoint(), votes, sent.sentAt()), votes, time);
     return known.alive() ? step : step.andThen(next -> Step.of(next, hostsChanged(next)));
   }
 
@@ -217,13 +258,19 @@
     List<FleetEffect> effects = new ArrayList<>();
     boolean changed = false;
     boolean mayRemove = state.liveHosts().size() + 1 >= state.majority();
+    ContactTimes contacts = ContactTimes.of(state, settings);
+    Set<String> hubs = Set.copyOf(state.hubs());
     for (HostView host : state.hosts().values()) {
-      Duration silence = time.since(host.lastSeenAt());
+      MonotonicTime lastContact = contacts.lastContact(host);
+      Duration silence = time.since(lastContact);
+      if (silence.compareTo(settings.heartbeatTimeout()) <= 0) {
+        continue;
+      }
       if (mayRemove && silence.compareTo(settings.hostRemovalTimeout()) > 0) {
         hosts = hosts.minus(host.endpoint());
         changed = true;
-      } else if (host.mayRunRequests() && silence.compareTo(heartbeatTimeout(state, host)) > 0) {
-        hosts = hosts.plus(host.endpoint(), host.asSilent());
+      } else if (host.mayRunRequests() && silence.compareTo(heartbeatTimeout(hubs, host)) > 0) {
+        hosts = hosts.plus(host.endpoint(), host.asSilent(lastContact));
         next = withAdapterRequests(next, host.endpoint(), Map.of(), time);
         effects.add(logEvent("host_silent", host.endpoint()));
         changed = true;
@@ -239,8 +286,7 @@
   /**
    * Returns the heartbeat timeout of a host; it is longer if contacts are reported only by hubs.
    */
-  private Duration heartbeatTimeout(FleetState state, HostView host) {
-    List<String> hubs = state.hubs();
+  private Duration heartbeatTimeout(Set<String> hubs, HostView host) {
     boolean direct = hubs.contains(settings.self()) || hubs.contains(host.endpoint());
     return direct
         ? settings.heartbeatTimeout()
@@ -307,7 +353,8 @@
         HostView known = next.hosts().get(host.getKey());
         HostView merged =
             known == null
-                ? HostView.discovered(host.getKey(), time.minus(silence)).withNextHeartbeatAt(time)
+                ? HostView.discovered(host.getKey(), time.minus(silence))
+                    .withExchange(HeartbeatExchange.due(time))
                 : known.withReportedContact(
                     time.minus(silence), silence.compareTo(settings.heartbeatTimeout()) < 0);
         next = next.withHost(merged.withCapacity(host.getValue().capacityPercent()));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeat.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeat.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.parsleyhead.core.api.PeerMessage;
 import org.parsleyhead.core.dispatch.InstanceLoad;
 import org.parsleyhead.core.instance.AdapterKey;
@@ -21,7 +22,9 @@
  * @param membershipKnown whether the sender knows the members of the fleet, or its discovery
  *     deadline has passed
  * @param capacityPercent the processor share of the sender, in hundredths of a core
- * @param hosts summaries of the other hosts, by endpoint; may be empty
+ * @param membershipDigest a digest of the hosts that the sender knows and of which are alive
+ * @param hosts summaries of the other hosts, by endpoint; empty if the receiver last reported the
+ *     same digest
  * @param claims the instances for which the sender requests a vote
  * @param heldInstances the instances whose lease the sender holds
  * @param aggregated whether admitted units and loads are totals over all hosts except the receiver
@@ -31,6 +34,7 @@
  * @param adapterRequests the number of the sender's requests that use each adapter, for the
  *     instances that the receiver owns
  * @param reports the adapters of the instances that the sender owns, if they changed recently
+ * @param answer the answer to the last heartbeat of the receiver, unless it was sent separately
  */
 public record Heartbeat(
     long nonce,
@@ -40,6 +44,7 @@
     long highestFence,
     boolean membershipKnown,
     int capacityPercent,
+    long membershipDigest,
     Map<String, HostSummary> hosts,
     List<String> claims,
     List<String> heldInstances,
@@ -47,7 +52,8 @@
     Map<String, Double> admittedUnits,
     Map<String, InstanceLoad> loads,
     Map<String, Map<AdapterKey, Integer>> adapterRequests,
-    List<AdapterReport> reports)
+    List<AdapterReport> reports,
+    Optional<HeartbeatAnswer> answer)
     implements PeerMessage {
 
   /** Copies the collections. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HeartbeatAnswer.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HeartbeatAnswer.java
@@ -11,9 +11,11 @@
  * @param nonce the number of the answered heartbeat
  * @param endpoint the endpoint at which the sender receives messages
  * @param highestFence the highest fencing number that the sender has observed
- * @param votes the instances for which the receiver gets the sender's vote
+ * @param votesForAll whether the receiver gets the sender's vote for all claims of the heartbeat
+ * @param votes the instances for which the receiver gets the vote; empty if it gets all votes
  */
-public record HeartbeatAnswer(long nonce, String endpoint, long highestFence, List<String> votes)
+public record HeartbeatAnswer(
+    long nonce, String endpoint, long highestFence, boolean votesForAll, List<String> votes)
     implements PeerMessage {
 
   /** Copies the votes. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
@@ -22,17 +22,22 @@
   /** How long heartbeats report the adapters of an owned instance after a change. */
   private static final Duration REPORT_DISTRIBUTION_TIME = Duration.ofMillis(1500);
 
-  /** In a large fleet, one in this many heartbeats carries the known hosts. */
-  private static final int HEARTBEATS_PER_HOST_LIST = 4;
+  /**
+   * Multiple of the interval after which a host sends a heartbeat to a hub from which it has heard
+   * none; its heartbeats usually answer those of the hub.
+   */
+  private static final double UNANSWERED_INTERVAL_FACTOR = 1.5;
 
   private static final FleetTotals NO_TOTALS = new FleetTotals(Map.of(), Map.of());
 
   private final FleetSettings settings;
   private final Leases leases;
+  private final HostIdentity self;
 
   Heartbeats(FleetSettings settings, Leases leases) {
     this.settings = settings;
     this.leases = leases;
+    this.self = HostIdentity.of(settings.self());
   }
 
   /** Sends the heartbeats that are due. */
@@ -42,18 +47,20 @@
     List<HostView> due =
         state.hosts().values().stream()
             .filter(host -> hub || hubs.contains(host.endpoint()))
-            .filter(host -> !time.isBefore(host.nextHeartbeatAt()))
+            .filter(host -> !time.isBefore(host.exchange().nextAt()))
             .toList();
     if (due.isEmpty()) {
       return Step.of(state);
     }
-    FleetState.LocalState local = state.local().withNextHeartbeat(time);
-    FleetState next = state.withLocal(local);
     List<String> claims = leases.claims(state, time);
-    boolean large = state.knownHosts() > 2 * Hubs.MAXIMUM_HUBS;
-    boolean withHosts = !large || local.lastNonce() % HEARTBEATS_PER_HOST_LIST == 0;
-    Map<String, HostSummary> summaries = withHosts ? hostSummaries(state, time) : Map.of();
-    FleetTotals totals = FleetTotals.of(state, tick);
+    FleetState.LocalState local = state.local().withNextHeartbeat(claims, time);
+    FleetState next = state.withLocal(local);
+    long digest = state.membershipDigest(self);
+    Map<String, HostSummary> summaries =
+        due.stream().allMatch(host -> host.exchange().reportedDigest() == digest)
+            ? Map.of()
+            : hostSummaries(state, time);
+    FleetTotals totals = hub ? FleetTotals.of(state, tick) : NO_TOTALS;
     boolean membershipKnown = local.membershipKnown() || !time.isBefore(local.discoveryDeadline());
     List<AdapterReport> reports = reports(state, time);
     List<FleetEffect> effects = new ArrayList<>();
@@ -62,7 +69,8 @@
     for (HostView host : due) {
       boolean toHub = hubs.contains(host.endpoint());
       boolean assigned =
-          Hubs.assignedHub(host.endpoint(), hubs).equals(Optional.of(settings.self()));
+          !toHub && Hubs.assignedHub(host.endpoint(), hubs).equals(Optional.of(settings.self()));
+      boolean differs = host.exchange().reportedDigest() != digest;
       FleetTotals otherTotals =
           assigned ? totals.without(state.statistics().get(host.endpoint())) : NO_TOTALS;
       Heartbeat heartbeat =
@@ -74,22 +82,37 @@
               local.highestFence(),
               membershipKnown,
               settings.capacityPercent(),
-              toHub || assigned ? summaries : Map.of(),
+              digest,
+              differs && (toHub || assigned) ? summaries : Map.of(),
               claims,
               List.copyOf(state.engines().keySet()),
-              !toHub && assigned,
+              assigned,
               toHub ? tick.admittedUnits() : otherTotals.admittedUnits(),
               toHub ? tick.loads() : otherTotals.loads(),
               adapterRequestsAt(host, tick.adapterRequests()),
-              reports);
+              reports,
+              host.exchange().answer());
       effects.add(new FleetEffect.SendMessage(host.endpoint(), heartbeat));
-      Duration interval =
-          host.alive() && !large ? settings.heartbeatInterval() : settings.probeInterval();
-      next = next.withHost(host.withHeartbeatSent(time.plus(interval)));
+      next =
+          next.withHost(
+              host.withExchange(host.exchange().withSent(time.plus(interval(state, host, hub)))));
     }
     return new Step<>(next, effects);
   }
 
+  private Duration interval(FleetState state, HostView host, boolean hub) {
+    if (!host.alive()) {
+      return settings.probeInterval();
+    }
+    if (!state.large()) {
+      return settings.heartbeatInterval();
+    }
+    return hub
+        ? settings.probeInterval()
+        : Duration.ofNanos(
+            (long) (settings.probeInterval().toNanos() * UNANSWERED_INTERVAL_FACTOR));
+  }
+
   private static List<AdapterReport> reports(FleetState state, MonotonicTime time) {
     List<AdapterReport> reports = new ArrayList<>();
     state
@@ -136,7 +159,8 @@
     return owned;
   }
 
-  private static Map<String, HostSummary> hostSummaries(FleetState state, MonotonicTime time) {
+  private Map<String, HostSummary> hostSummaries(FleetState state, MonotonicTime time) {
+    ContactTimes contacts = ContactTimes.of(state, settings);
     Map<String, HostSummary> summaries = new HashMap<>();
     state
         .hosts()
@@ -146,7 +170,7 @@
                 summaries.put(
                     host.endpoint(),
                     new HostSummary(
-                        Math.max(0, time.since(host.lastSeenAt()).toMillis()),
+                        Math.max(0, time.since(contacts.lastContact(host)).toMillis()),
                         host.capacityPercent())));
     return summaries;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HostView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/HostView.java
@@ -8,22 +8,22 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param endpoint the endpoint at which it receives messages; its identity
+ * @param identity its endpoint
  * @param incarnation the incarnation that sent the last message; -1 if none was received
  * @param lastSeenAt when it was last in contact with this host or, by their reports, with another
  *     one; the time of discovery before that
  * @param alive whether it is considered alive
- * @param nextHeartbeatAt when the next heartbeat to it is due
+ * @param exchange the heartbeats between it and this host
  * @param capacityPercent its processor share, in hundredths of a core; 0 if unknown
  * @param heldInstances the instances whose lease it reports holding
  * @param leaving whether its process has announced that it is about to stop; it still votes
  */
 record HostView(
-    String endpoint,
+    HostIdentity identity,
     long incarnation,
     MonotonicTime lastSeenAt,
     boolean alive,
-    MonotonicTime nextHeartbeatAt,
+    HeartbeatExchange exchange,
     int capacityPercent,
     List<String> heldInstances,
     boolean leaving) {
@@ -31,23 +31,35 @@
   static final long UNKNOWN_INCARNATION = -1;
 
   static HostView discovered(String endpoint, MonotonicTime time) {
-    return new HostView(endpoint, UNKNOWN_INCARNATION, time, false, time, 0, List.of(), false);
+    return new HostView(
+        HostIdentity.of(endpoint),
+        UNKNOWN_INCARNATION,
+        time,
+        false,
+        HeartbeatExchange.due(time),
+        0,
+        List.of(),
+        false);
   }
 
-  HostView withNextHeartbeatAt(MonotonicTime time) {
+  String endpoint() {
+    return identity.endpoint();
+  }
+
+  HostView withExchange(HeartbeatExchange next) {
     return new HostView(
-        endpoint, incarnation, lastSeenAt, alive, time, capacityPercent, heldInstances, leaving);
+        identity, incarnation, lastSeenAt, alive, next, capacityPercent, heldInstances, leaving);
   }
 
   /** Returns this host after another one reported its last contact with it. */
   HostView withReportedContact(MonotonicTime time, boolean recently) {
     return lastSeenAt.isBefore(time)
         ? new HostView(
-            endpoint,
+            identity,
             incarnation,
             time,
             alive || recently && !leaving,
-            nextHeartbeatAt,
+            exchange,
             capacityPercent,
             heldInstances,
             leaving)
@@ -61,11 +73,11 @@
   HostView withContact(long newIncarnation, MonotonicTime time) {
     boolean stillLeaving = leaving && newIncarnation == incarnation;
     return new HostView(
-        endpoint,
+        identity,
         newIncarnation,
         time,
         !stillLeaving,
-        nextHeartbeatAt,
+        exchange,
         capacityPercent,
         heldInstances,
         stillLeaving);
@@ -74,7 +86,7 @@
   /** Returns this host after it announced that its process is about to stop. */
   HostView asLeaving(long newIncarnation, MonotonicTime time) {
     return new HostView(
-        endpoint, newIncarnation, time, false, nextHeartbeatAt, capacityPercent, List.of(), true);
+        identity, newIncarnation, time, false, exchange, capacityPercent, List.of(), true);
   }
 
   /**
@@ -87,44 +99,19 @@
 
   HostView withHeldInstances(List<String> instances) {
     return new HostView(
-        endpoint,
-        incarnation,
-        lastSeenAt,
-        alive,
-        nextHeartbeatAt,
-        capacityPercent,
-        instances,
-        leaving);
+        identity, incarnation, lastSeenAt, alive, exchange, capacityPercent, instances, leaving);
   }
 
   HostView withCapacity(int percent) {
     return percent == 0
         ? this
         : new HostView(
-            endpoint,
-            incarnation,
-            lastSeenAt,
-            alive,
-            nextHeartbeatAt,
-            percent,
-            heldInstances,
-            leaving);
-  }
-
-  HostView asSilent() {
-    return new HostView(
-        endpoint,
-        incarnation,
-        lastSeenAt,
-        false,
-        nextHeartbeatAt,
-        capacityPercent,
-        List.of(),
-        false);
+            identity, incarnation, lastSeenAt, alive, exchange, percent, heldInstances, leaving);
   }
 
-  HostView withHeartbeatSent(MonotonicTime next) {
+  /** Returns this host after its heartbeat timeout, counted from the last contact. */
+  HostView asSilent(MonotonicTime lastContact) {
     return new HostView(
-        endpoint, incarnation, lastSeenAt, alive, next, capacityPercent, heldInstances, leaving);
+        identity, incarnation, lastContact, false, exchange, capacityPercent, List.of(), false);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Hubs.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Hubs.java
@@ -25,30 +25,39 @@
    */
   private static final int PREFERRED_CAPACITY_PERCENT = 70;
 
-  private static final String HUB_KEY = "hub";
   private static final String ASSIGNED_HUB_KEY = "home of ";
 
+  private static final Comparator<Candidate> BY_PREFERENCE =
+      Comparator.comparing((Candidate candidate) -> !candidate.preferred())
+          .thenComparing(Comparator.comparingLong(Candidate::weight).reversed())
+          .thenComparing(Candidate::endpoint);
+
   private Hubs() {}
 
   /** Returns the hubs among this host and the live ones, in a stable order. */
   static List<String> of(FleetState state, FleetSettings settings) {
-    List<String> candidates = new ArrayList<>(state.liveHosts());
-    candidates.add(settings.self());
-    List<String> ordered = new ArrayList<>(Rendezvous.order(HUB_KEY, candidates));
-    ordered.sort(Comparator.comparing(host -> !preferred(state, settings, host)));
-    return List.copyOf(ordered.subList(0, Math.min(MAXIMUM_HUBS, ordered.size())));
-  }
-
-  private static boolean preferred(FleetState state, FleetSettings settings, String host) {
-    int percent =
-        host.equals(settings.self())
-            ? settings.capacityPercent()
-            : state.hosts().get(host).capacityPercent();
-    return percent >= PREFERRED_CAPACITY_PERCENT;
+    List<Candidate> candidates = new ArrayList<>(state.hosts().size() + 1);
+    HostIdentity self = HostIdentity.of(settings.self());
+    candidates.add(Candidate.of(self, settings.capacityPercent()));
+    for (HostView host : state.hosts().values()) {
+      if (host.alive()) {
+        candidates.add(Candidate.of(host.identity(), host.capacityPercent()));
+      }
+    }
+    candidates.sort(BY_PREFERENCE);
+    return candidates.stream().limit(MAXIMUM_HUBS).map(Candidate::endpoint).toList();
   }
 
   /** Returns the hub that sends a host the totals over all others; empty if there are no hubs. */
   static Optional<String> assignedHub(String host, List<String> hubs) {
     return Rendezvous.first(ASSIGNED_HUB_KEY + host, hubs);
   }
+
+  private record Candidate(String endpoint, long weight, boolean preferred) {
+
+    static Candidate of(HostIdentity identity, int capacityPercent) {
+      return new Candidate(
+          identity.endpoint(), identity.hubWeight(), capacityPercent >= PREFERRED_CAPACITY_PERCENT);
+    }
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Leases.java
@@ -128,6 +128,18 @@
     return step;
   }
 
+  /** Acquires those of the leases that have a majority of votes at an instant. */
+  Step<FleetState, FleetEffect> acquire(
+      FleetState state, List<String> instances, MonotonicTime time) {
+    Step<FleetState, FleetEffect> step = Step.of(state);
+    for (String instance : instances) {
+      if (!state.leases().get(instance).won()) {
+        step = step.andThen(next -> updateOwnershipOf(next, instance, time));
+      }
+    }
+    return step;
+  }
+
   /** Returns the instant until which this host may send orders to an instance. */
   MonotonicTime heldUntil(FleetState state, String instance) {
     Lease lease = state.leases().getOrDefault(instance, Lease.CLAIMED);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
@@ -132,6 +132,23 @@
             .count();
   }
 
+  /** Returns the number of hosts that count for majorities in the view of a host. */
+  int knownHosts(String name) {
+    return hosts.get(name).state.knownHosts();
+  }
+
+  /** Returns the number of other hosts that a host considers alive. */
+  int liveHosts(String name) {
+    return hosts.get(name).state.liveHosts().size();
+  }
+
+  /** Returns the hosts that are not hubs in the view of the first host. */
+  List<String> hostsBesideHubs() {
+    List<String> names = new ArrayList<>(hosts.keySet());
+    names.removeAll(hosts.get(names.get(0)).state.hubs());
+    return names;
+  }
+
   boolean allOwned() {
     return instances().stream().allMatch(instance -> owners(instance.identifier()) == 1);
   }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FleetProtocolTests.java
@@ -64,6 +64,28 @@
     assertExclusiveOrders(fleet, "start");
   }
 
+  @Test
+  @DisplayName("count a crashed host for majorities until the removal timeout in a large fleet")
+  void countCrashedHost() {
+    FakeFleet fleet = new FakeFleet(20261204, 20, 0.02);
+    fleet.run(Duration.ofSeconds(60));
+    List<String> others = fleet.hostsBesideHubs();
+    for (String name : others) {
+      assertEquals(20, fleet.knownHosts(name));
+      assertEquals(19, fleet.liveHosts(name));
+    }
+    fleet.kill(others.get(0));
+    fleet.run(Duration.ofSeconds(8));
+    for (String name : others.subList(1, others.size())) {
+      assertEquals(20, fleet.knownHosts(name));
+      assertEquals(18, fleet.liveHosts(name));
+    }
+    fleet.run(Duration.ofSeconds(22));
+    for (String name : others.subList(1, others.size())) {
+      assertEquals(19, fleet.knownHosts(name));
+    }
+  }
+
   @Test
   @DisplayName("replace an owner that has crashed")
   void replaceOwner() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerSockets.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerSockets.java
@@ -2,8 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -15,7 +13,11 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.parsleyhead.codec.CodecException;
@@ -30,8 +32,9 @@
  * Sends messages to other hosts and passes their messages on.
  *
  * <p>Thread-safe; sockets are confined to the event loop. Messages may be lost, and sending never
- * blocks. Received frames are acknowledged by an empty frame; a connection whose frames are not
- * acknowledged before a timeout is replaced when the next message is sent.
+ * blocks. Two hosts use one connection for both directions, whichever of them opened it. A received
+ * frame is acknowledged by the next message or, after a delay, by an empty frame; a connection
+ * whose frames are not acknowledged before a timeout is replaced when the next message is sent.
  */
 public final class PeerSockets {
 
@@ -43,6 +46,9 @@
   private static final long ACKNOWLEDGEMENT_TIMEOUT_NANOSECONDS =
       TimeUnit.MILLISECONDS.toNanos(900);
 
+  /** Shorter than the interval between heartbeats, which acknowledge too. */
+  private static final long ACKNOWLEDGEMENT_DELAY_MILLISECONDS = 250;
+
   /** The maximum number of frames that wait for a connection to be established. */
   private static final int MAXIMUM_PENDING_FRAMES = 16;
 
@@ -51,6 +57,7 @@
   private final EventLoopGroup eventLoops;
   private final Consumer<Envelope> receiver;
   private final Map<String, PeerConnection> connections = new HashMap<>();
+  private final Set<PeerConnection> open = new HashSet<>();
 
   /**
    * Creates sockets that are not yet open.
@@ -70,6 +77,13 @@
 
   /** Opens the port for connections from other hosts. */
   public Channel open(Endpoint endpoint) {
+    eventLoops
+        .next()
+        .scheduleWithFixedDelay(
+            () -> List.copyOf(open).forEach(PeerConnection::acknowledge),
+            ACKNOWLEDGEMENT_DELAY_MILLISECONDS,
+            ACKNOWLEDGEMENT_DELAY_MILLISECONDS,
+            TimeUnit.MILLISECONDS);
     return new ServerBootstrap()
         .group(eventLoops)
         .channel(NioServerSocketChannel.class)
@@ -79,8 +93,9 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                addFrameCodec(channel);
-                channel.pipeline().addLast(new IncomingFrameHandler(PeerSockets.this::decode));
+                PeerConnection connection = PeerConnection.accepted(MAXIMUM_PENDING_FRAMES);
+                initialize(channel, connection, frame -> decodeAccepted(connection, frame));
+                connection.connected(channel, System.nanoTime());
               }
             })
         .bind(endpoint.address(), endpoint.port())
@@ -104,7 +119,7 @@
       connection = null;
     }
     if (connection == null) {
-      connection = new PeerConnection(MAXIMUM_PENDING_FRAMES);
+      connection = PeerConnection.opening(MAXIMUM_PENDING_FRAMES);
       connections.put(endpoint, connection);
       connect(endpoint, connection);
     }
@@ -123,8 +138,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    addFrameCodec(channel);
-                    channel.pipeline().addLast(new AcknowledgementHandler(connection));
+                    initialize(channel, connection, PeerSockets.this::decode);
                   }
                 })
             .connect(target.address(), target.port());
@@ -132,25 +146,53 @@
         done -> {
           if (done.isSuccess()) {
             connection.connected(connected.channel(), System.nanoTime());
-            connected
-                .channel()
-                .closeFuture()
-                .addListener(closed -> connections.remove(endpoint, connection));
           } else {
             connections.remove(endpoint, connection);
           }
         });
   }
 
-  private void decode(byte[] frame) {
+  /**
+   * Decodes a frame of a connection that the other host has opened, and adopts the connection. If
+   * both hosts have opened one, both use the one of the host whose endpoint comes first.
+   */
+  private void decodeAccepted(PeerConnection connection, byte[] frame) {
+    decode(frame)
+        .ifPresent(
+            envelope -> {
+              String endpoint = envelope.sender().host().text();
+              PeerConnection current = connections.get(endpoint);
+              boolean otherComesFirst = endpoint.compareTo(self.host().text()) < 0;
+              if (current == null || otherComesFirst && current.openedHere()) {
+                connections.put(endpoint, connection);
+                if (current != null) {
+                  current.close();
+                }
+              }
+            });
+  }
+
+  private Optional<Envelope> decode(byte[] frame) {
     try {
-      receiver.accept(codec.decode(frame));
+      Envelope envelope = codec.decode(frame);
+      receiver.accept(envelope);
+      return Optional.of(envelope);
     } catch (CodecException exception) {
       LOG.warning("message_refused", "code", exception.code(), "bytes", frame.length);
+      return Optional.empty();
     }
   }
 
-  private static void addFrameCodec(SocketChannel channel) {
+  private void initialize(
+      SocketChannel channel, PeerConnection connection, Consumer<byte[]> frames) {
+    open.add(connection);
+    channel
+        .closeFuture()
+        .addListener(
+            closed -> {
+              open.remove(connection);
+              connections.values().remove(connection);
+            });
     channel
         .pipeline()
         .addLast(
@@ -160,11 +202,7 @@
                 LENGTH_FIELD_BYTES,
                 0,
                 LENGTH_FIELD_BYTES))
-        .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
-  }
-
-  /** Returns the frame that acknowledges received frames. */
-  static ByteBuf acknowledgementFrame() {
-    return Unpooled.EMPTY_BUFFER;
+        .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
+        .addLast(new PeerFrameHandler(connection, frames));
   }
 }
