Requests wait for a starting host and for expected owners; returning callers are spread

Change: package core.overload, without input or output: StartupQueue (requests wait until the first catalogue and instances, at most 1.5 s after the start), WaitPolicy (a request waits for an expected owner for at most 0.7 of the time it has left, else it is refused at once), RetryAfterPolicy (callers return after the expected delay, spread over half of it). The time without any owner does not count as time for the load. A new owner wakes the waiting requests. RequestDispatcher is split: AdapterLoads, RequestWakes. LeastExpectedTime hashes servers only if a cold load could be chosen; no text is formatted per send; peer loads that did not change leave the instances alone. LoadReplayTests: restart of all hosts, 50 of 50 served; loss of all owners, 405 of 600 served, 195 refused at once, none late. A test that expected the exact takeover delay as Retry-After now checks that it is not shorter and less than twice as long, since it is spread.

--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -0,0 +1,214 @@
+package org.parsleyhead.core.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.instance.AdapterKey;
+
+/**
+ * Handles requests whose adapter has to be loaded first: requests the load, waits for it, and waits
+ * for an owner that can order it.
+ *
+ * <p>Immutable and thread-safe.
+ */
+final class AdapterLoads {
+
+  /** Dispatches a request again. Implementations are pure. */
+  @FunctionalInterface
+  interface Redispatch {
+
+    /** Assigns the request to an instance by the current state. */
+    Step<DispatchState, DispatchEffect> dispatch(
+        DispatchState state, ActiveRequest active, MonotonicTime time);
+  }
+
+  /** Timeout of a load request; covers several round trips between hosts. */
+  private static final Duration LOAD_RESPONSE_TIMEOUT = Duration.ofMillis(300);
+
+  /**
+   * Time for which a server counts as refusing loads after a load request was refused or not
+   * answered in time; owners change within seconds.
+   */
+  private static final Duration LOAD_REFUSAL_DURATION = Duration.ofMillis(500);
+
+  /** Load requests that one request may trigger in a row. */
+  private static final int MAXIMUM_LOAD_REQUESTS = 3;
+
+  /** Delay before a request triggers loads again; each completed request may free a slot. */
+  private static final Duration SLOT_RETRY_DELAY = Duration.ofMillis(150);
+
+  /** Expected delay until a server has a free adapter slot, or another request has the adapter. */
+  private static final Duration EXPECTED_SLOT_DELAY = Duration.ofMillis(150);
+
+  /** Interval at which a request that needs an instance with an owner is dispatched again. */
+  private static final Duration OWNER_RETRY_DELAY = Duration.ofMillis(100);
+
+  /** Time from the earliest takeover to the first load that a new owner orders. */
+  private static final Duration OWNER_START_DELAY = Duration.ofMillis(400);
+
+  /** Time after the earliest takeover from which no owner is expected soon. */
+  private static final Duration MAXIMUM_TAKEOVER_DELAY = Duration.ofMillis(1_500);
+
+  private final DispatchSettings settings;
+  private final Redispatch redispatch;
+
+  AdapterLoads(DispatchSettings settings, Redispatch redispatch) {
+    this.settings = settings;
+    this.redispatch = redispatch;
+  }
+
+  /** Requests the load of the adapter at an instance, or waits for a slot. */
+  Step<DispatchState, DispatchEffect> request(
+      DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
+    if (active.progress().loadRequests() >= MAXIMUM_LOAD_REQUESTS) {
+      return loadTimeElapsed(active, time)
+          ? refuse(state, active, EXPECTED_SLOT_DELAY, time)
+          : RequestWakes.schedule(
+              state,
+              active.with(active.progress().withoutLoadRequests().waiting()),
+              SLOT_RETRY_DELAY);
+    }
+    ActiveRequest loading = active.with(active.progress().loading(view.identifier()));
+    return Step.<DispatchState, DispatchEffect>of(
+            state,
+            new DispatchEffect.RequestLoad(
+                view.identifier(), adapter(active), active.request().identifier()))
+        .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT));
+  }
+
+  /** Waits for a load that was ordered. */
+  Step<DispatchState, DispatchEffect> await(
+      DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
+    Duration delay = view.adapters().readyAt().get(adapter(active)).since(time);
+    return RequestWakes.schedule(
+        state, active.with(active.progress().loading(view.identifier())), delay);
+  }
+
+  /**
+   * Waits until some host may order loads if the request can still be answered then; otherwise
+   * refuses it at once.
+   */
+  Step<DispatchState, DispatchEffect> awaitOwner(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    Duration takeoverDelay = state.earliestTakeover().since(time);
+    Duration wakeDelay =
+        takeoverDelay.compareTo(OWNER_RETRY_DELAY) < 0 ? OWNER_RETRY_DELAY : takeoverDelay;
+    Duration expected = wakeDelay.plus(OWNER_START_DELAY).plus(settings.coldLoad());
+    boolean overdue = takeoverDelay.plus(MAXIMUM_TAKEOVER_DELAY).isNegative();
+    boolean waits =
+        overdue
+            ? time.since(active.receivedAt()).compareTo(RequestTimeouts.loadTimeout(active)) <= 0
+            : settings.waitPolicy().waits(expected, active.deadline().since(time));
+    return waits
+        ? RequestWakes.schedule(
+            state, active.with(active.progress().waitingForOwner(time.plus(wakeDelay))), wakeDelay)
+        : refuse(state, active, wakeDelay, time);
+  }
+
+  /**
+   * Returns whether a request has waited for a load for as long as it may; the time without any
+   * owner, in which no load could be ordered, does not count.
+   */
+  private static boolean loadTimeElapsed(ActiveRequest active, MonotonicTime time) {
+    MonotonicTime possibleFrom =
+        active
+            .progress()
+            .ownerExpectedAt()
+            .map(expectedAt -> expectedAt.plus(OWNER_START_DELAY))
+            .orElse(active.receivedAt());
+    return time.since(possibleFrom).compareTo(RequestTimeouts.loadTimeout(active)) > 0;
+  }
+
+  /** Wakes the requests that wait for a load once it is expected to be ready. */
+  Step<DispatchState, DispatchEffect> onOrdered(
+      DispatchState state, DispatchEvent.LoadOrdered ordered, MonotonicTime time) {
+    MonotonicTime readyAt = time.plus(ordered.readyIn());
+    Step<DispatchState, DispatchEffect> step =
+        Step.of(
+            state.withInstances(
+                state
+                    .instances()
+                    .update(
+                        ordered.instance(),
+                        view ->
+                            view.withAdapters(
+                                view.adapters().withExpectedLoad(ordered.adapter(), readyAt)))));
+    for (ActiveRequest active : waitingFor(state, ordered.instance(), ordered.adapter())) {
+      step =
+          step.andThen(
+              next ->
+                  RequestWakes.schedule(
+                      next, active.with(active.progress().withNextWake()), ordered.readyIn()));
+    }
+    return step;
+  }
+
+  /** Dispatches the requests again that wait for a load that was refused. */
+  Step<DispatchState, DispatchEffect> onRefused(
+      DispatchState state, DispatchEvent.LoadRefused refused, MonotonicTime time) {
+    Step<DispatchState, DispatchEffect> step =
+        Step.of(withLoadsRefused(state, refused.instance(), time));
+    for (ActiveRequest active : waitingFor(state, refused.instance(), refused.adapter())) {
+      step = step.andThen(before -> redispatch.dispatch(before, active, time));
+    }
+    return step;
+  }
+
+  /** Dispatches the waiting requests again, since other instances have an owner now. */
+  Step<DispatchState, DispatchEffect> onOwnersChanged(DispatchState state, MonotonicTime time) {
+    Step<DispatchState, DispatchEffect> step = Step.of(state);
+    for (ActiveRequest active : List.copyOf(state.requests().values())) {
+      if (active.progress().phase() == Phase.WAITING) {
+        step = step.andThen(before -> redispatch.dispatch(before, active, time));
+      }
+    }
+    return step;
+  }
+
+  /** Dispatches a request again whose load was not answered in time, or is ready. */
+  Step<DispatchState, DispatchEffect> onWake(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    String instance = active.progress().instance().orElseThrow();
+    Optional<InstanceView> view = state.instances().find(instance);
+    boolean unanswered = view.isPresent() && !view.get().adapters().holds(adapter(active));
+    return redispatch.dispatch(
+        unanswered ? withLoadsRefused(state, instance, time) : state, active, time);
+  }
+
+  private Step<DispatchState, DispatchEffect> refuse(
+      DispatchState state, ActiveRequest active, Duration expectedDelay, MonotonicTime time) {
+    return RequestCompletion.fail(
+        state,
+        active,
+        DispatchRefusal.Code.ADAPTER_UNAVAILABLE,
+        settings.retryAfter().retryAfter(expectedDelay, active.request().hash()),
+        time);
+  }
+
+  private static DispatchState withLoadsRefused(
+      DispatchState state, String instance, MonotonicTime time) {
+    return state.withInstances(
+        state
+            .instances()
+            .update(
+                instance,
+                view ->
+                    view.withAdapters(
+                        view.adapters().withLoadsRefusedUntil(time.plus(LOAD_REFUSAL_DURATION)))));
+  }
+
+  private static AdapterKey adapter(ActiveRequest active) {
+    return active.request().work().orElseThrow().adapter();
+  }
+
+  private static List<ActiveRequest> waitingFor(
+      DispatchState state, String instance, AdapterKey adapter) {
+    return state.requests().values().stream()
+        .filter(active -> active.progress().phase() == Phase.LOADING)
+        .filter(active -> active.progress().instance().equals(Optional.of(instance)))
+        .filter(active -> adapter(active).equals(adapter))
+        .toList();
+  }
+}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
-import org.parsleyhead.core.api.Rendezvous;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.ServiceRoute;
@@ -17,8 +16,18 @@
  */
 final class Admission {
 
-  /** Retry-After of a host without a catalogue; reading the catalogue takes milliseconds. */
-  private static final Duration NOT_READY_DELAY = Duration.ofMillis(100);
+  /**
+   * Expected delay until a host without a catalogue has read it, once it has failed to at first.
+   */
+  private static final Duration NOT_READY_DELAY = Duration.ofMillis(300);
+
+  /** Applies to callers that state no deadline while no route is known. */
+  private static final Duration DEFAULT_CALLER_TIMEOUT = Duration.ofSeconds(1);
+
+  /**
+   * Number of the wake event that ends the wait for a catalogue; active requests start above it.
+   */
+  private static final int STARTUP_WAKE_NUMBER = 0;
 
   /** Retry-After of a host that is stopping; short, since another host accepts the retry. */
   private static final Duration STOPPING_DELAY = Duration.ofMillis(20);
@@ -40,13 +49,54 @@
 
   Step<DispatchState, DispatchEffect> receive(
       DispatchState state, ServingRequest request, MonotonicTime time) {
-    if (!state.catalogue().known()) {
-      return refuse(
-          state,
-          request,
-          DispatchRefusal.withRetryAfter(DispatchRefusal.Code.NOT_READY, NOT_READY_DELAY),
-          "catalogue=unknown");
+    if (state.catalogue().known() && !state.instances().all().isEmpty()) {
+      return admit(state, new ReceivedRequest(request, time), time);
+    }
+    Optional<Duration> limit =
+        state.startup().waitLimit(request.callerTimeout().orElse(DEFAULT_CALLER_TIMEOUT), time);
+    if (limit.isEmpty()) {
+      return state.catalogue().known()
+          ? admit(state, new ReceivedRequest(request, time), time)
+          : refuseNotReady(state, request);
     }
+    return Step.of(
+        state.withStartup(state.startup().with(request.key(), new ReceivedRequest(request, time))),
+        new DispatchEffect.WakeAfter(request.key(), STARTUP_WAKE_NUMBER, limit.get()));
+  }
+
+  /** Admits all requests that have waited for the catalogue, in the order of their arrival. */
+  Step<DispatchState, DispatchEffect> admitWaiting(DispatchState state, MonotonicTime time) {
+    Step<DispatchState, DispatchEffect> step =
+        Step.of(state.withStartup(state.startup().emptied()));
+    for (ReceivedRequest received : state.startup().requests()) {
+      step = step.andThen(next -> admit(next, received, time));
+    }
+    return step;
+  }
+
+  /** Ends the wait of a request for the catalogue. */
+  Step<DispatchState, DispatchEffect> endWait(
+      DispatchState state, ReceivedRequest received, MonotonicTime time) {
+    DispatchState next = state.withStartup(state.startup().without(received.request().key()));
+    return next.catalogue().known()
+        ? admit(next, received, time)
+        : refuseNotReady(next, received.request());
+  }
+
+  private Step<DispatchState, DispatchEffect> refuseNotReady(
+      DispatchState state, ServingRequest request) {
+    return refuse(
+        state,
+        request,
+        DispatchRefusal.withRetryAfter(
+            DispatchRefusal.Code.NOT_READY,
+            settings.retryAfter().retryAfter(NOT_READY_DELAY, request.hash())),
+        "catalogue=unknown");
+  }
+
+  private Step<DispatchState, DispatchEffect> admit(
+      DispatchState state, ReceivedRequest received, MonotonicTime time) {
+    ServingRequest request = received.request();
     String version = "catalogue=" + state.catalogue().version();
     Optional<ServiceRoute> route = state.catalogue().route(request.host(), request.path());
     if (route.isEmpty()) {
@@ -66,15 +116,16 @@
     if (account.isEmpty() && !route.get().open() && !state.catalogue().accounts().isEmpty()) {
       return refuse(state, request, DispatchRefusal.of(DispatchRefusal.Code.UNKNOWN_KEY), version);
     }
-    return admit(state, request, route.get(), account, time);
+    return charge(state, received, route.get(), account, time);
   }
 
-  private Step<DispatchState, DispatchEffect> admit(
+  private Step<DispatchState, DispatchEffect> charge(
       DispatchState state,
-      ServingRequest request,
+      ReceivedRequest received,
       ServiceRoute route,
       Optional<AccountLimits> account,
       MonotonicTime time) {
+    ServingRequest request = received.request();
     double units = account.map(limits -> units(limits, request)).orElse(0.0);
     DispatchState charged = state;
     if (account.isPresent() && account.get().limited()) {
@@ -96,7 +147,7 @@
       }
       charged = state.withBucket(name, bucket.admit(units));
     }
-    ActiveRequest active = activate(request, route, account, units, time);
+    ActiveRequest active = activate(received, route, account, units);
     RetryBudget budget =
         charged
             .budget(settings, active.service(), time)
@@ -105,11 +156,8 @@
   }
 
   private static ActiveRequest activate(
-      ServingRequest request,
-      ServiceRoute route,
-      Optional<AccountLimits> account,
-      double units,
-      MonotonicTime time) {
+      ReceivedRequest received, ServiceRoute route, Optional<AccountLimits> account, double units) {
+    ServingRequest request = received.request();
     Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
     Duration limit = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
     int priority =
@@ -117,12 +165,12 @@
     return new ActiveRequest(
         request,
         route,
-        route.serviceFor(Rendezvous.hash(request.identifier())),
+        route.serviceFor(request.hash()),
         account,
         units,
         Math.min(LOWEST_URGENCY, URGENCY_OFFSET + Math.max(0, priority)),
-        time,
-        time.plus(limit),
+        received.receivedAt(),
+        received.receivedAt().plus(limit),
         request.work().map(PrefixCacheEstimate::prefixHashes).orElse(List.of()),
         Progress.INITIAL);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Candidate.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Candidate.java
@@ -11,6 +11,10 @@
  */
 record Candidate(InstanceView view, double cost, LoadRequirement loadRequirement) {
 
+  Candidate withAddedCost(double milliseconds) {
+    return new Candidate(view, cost + milliseconds, loadRequirement);
+  }
+
   /** Whether an instance has to load an adapter for a request. Immutable and thread-safe. */
   enum LoadRequirement {
     /** No load is required. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.overload.RetryAfterPolicy;
+import org.parsleyhead.core.overload.WaitPolicy;
 
 /**
  * The settings of the dispatch duty.
@@ -20,6 +22,8 @@
  * @param retryWindow the window of the retry budget
  * @param rateTolerance the fraction by which a rate may be exceeded before requests are refused
  * @param burstTolerance the units by which a burst may be exceeded before requests are refused
+ * @param retryAfter decides when refused callers should return
+ * @param waitPolicy decides whether requests wait for capacity that is expected later
  */
 public record DispatchSettings(
     FailureDomainName failureDomain,
@@ -31,4 +35,6 @@
     double retryBurst,
     Duration retryWindow,
     double rateTolerance,
-    double burstTolerance) {}
+    double burstTolerance,
+    RetryAfterPolicy retryAfter,
+    WaitPolicy waitPolicy) {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -6,6 +6,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
+import org.parsleyhead.core.overload.StartupQueue;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -24,6 +25,7 @@
  * @param stopStage the stage of the shutdown of this process
  * @param versions the newest declared versions of the adapters
  * @param earliestTakeover the earliest instant at which instances without an owner can get one
+ * @param startup the requests that wait until this host knows its catalogue and instances
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -34,10 +36,11 @@
     PeerTable peers,
     StopStage stopStage,
     AdapterVersions versions,
-    MonotonicTime earliestTakeover) {
+    MonotonicTime earliestTakeover,
+    StartupQueue<ReceivedRequest> startup) {
 
-  /** Returns the state of a process that has just started. */
-  public static DispatchState initial() {
+  /** Returns the state of a process that started at an instant. */
+  public static DispatchState initial(MonotonicTime time) {
     return new DispatchState(
         ServiceCatalogue.EMPTY,
         InstanceTable.EMPTY,
@@ -47,12 +50,13 @@
         PeerTable.EMPTY,
         StopStage.RUNNING,
         AdapterVersions.NONE,
-        MonotonicTime.ORIGIN);
+        MonotonicTime.ORIGIN,
+        StartupQueue.startedAt(time));
   }
 
-  /** Returns the number of active requests. */
+  /** Returns the number of requests that are active or wait for the catalogue. */
   public int activeRequests() {
-    return requests.size();
+    return requests.size() + startup.size();
   }
 
   /**
@@ -93,12 +97,30 @@
 
   DispatchState withCatalogue(ServiceCatalogue next) {
     return new DispatchState(
-        next, instances, requests, buckets, budgets, peers, stopStage, versions, earliestTakeover);
+        next,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withInstances(InstanceTable next) {
     return new DispatchState(
-        catalogue, next, requests, buckets, budgets, peers, stopStage, versions, earliestTakeover);
+        catalogue,
+        next,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -123,7 +145,8 @@
         peers,
         stopStage,
         versions,
-        earliestTakeover);
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -140,17 +163,28 @@
         peers,
         stopStage,
         versions,
-        earliestTakeover);
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withVersions(AdapterVersions next) {
     return new DispatchState(
-        catalogue, instances, requests, buckets, budgets, peers, stopStage, next, earliestTakeover);
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        next,
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withEarliestTakeover(MonotonicTime time) {
     return new DispatchState(
-        catalogue, instances, requests, buckets, budgets, peers, stopStage, versions, time);
+        catalogue, instances, requests, buckets, budgets, peers, stopStage, versions, time,
+        startup);
   }
 
   DispatchState withPeers(PeerTable next) {
@@ -163,12 +197,22 @@
         next,
         stopStage,
         versions,
-        earliestTakeover);
+        earliestTakeover,
+        startup);
   }
 
   DispatchState withStopStage(StopStage stage) {
     return new DispatchState(
-        catalogue, instances, requests, buckets, budgets, peers, stage, versions, earliestTakeover);
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stage,
+        versions,
+        earliestTakeover,
+        startup);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -178,8 +222,31 @@
         : known.advance(settings, peers.hostCount(), time);
   }
 
+  DispatchState withStartup(StartupQueue<ReceivedRequest> next) {
+    return new DispatchState(
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        earliestTakeover,
+        next);
+  }
+
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
     return new DispatchState(
-        catalogue, instances, next, buckets, budgets, peers, stopStage, versions, earliestTakeover);
+        catalogue,
+        instances,
+        next,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        earliestTakeover,
+        startup);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
@@ -58,16 +59,36 @@
       return attemptEvents.onAttemptEnded(state, ended, time);
     }
     if (event instanceof DispatchEvent.CallerDisconnected disconnected) {
-      return attemptEvents.onCallerDisconnected(state, disconnected.requestKey());
+      long key = disconnected.requestKey();
+      return attemptEvents.onCallerDisconnected(
+          state.withStartup(state.startup().without(key)), key);
     }
     if (event instanceof DispatchEvent.Wake wake) {
-      return dispatcher.onWake(state, wake, time);
+      Optional<ReceivedRequest> waiting = state.startup().find(wake.requestKey());
+      return waiting.isPresent()
+          ? admission.endWait(state, waiting.get(), time)
+          : dispatcher.onWake(state, wake, time);
+    }
+    if (event instanceof DispatchEvent.InstancesAnnounced announced) {
+      DispatchState next = instancesAnnounced(state, announced.instances(), time);
+      return next.catalogue().known() && next.startup().size() > 0
+          ? admission.admitWaiting(next, time)
+          : Step.of(next);
+    }
+    if (event instanceof DispatchEvent.InstanceOwnersChanged changed) {
+      return dispatcher
+          .loads()
+          .onOwnersChanged(
+              state
+                  .withInstances(state.instances().withOwned(changed.ownedInstances()))
+                  .withEarliestTakeover(time.plus(changed.takeoverDelay())),
+              time);
     }
     if (event instanceof DispatchEvent.LoadOrdered ordered) {
-      return dispatcher.onLoadOrdered(state, ordered, time);
+      return dispatcher.loads().onOrdered(state, ordered, time);
     }
     if (event instanceof DispatchEvent.LoadRefused refused) {
-      return dispatcher.onLoadRefused(state, refused, time);
+      return dispatcher.loads().onRefused(state, refused, time);
     }
     return Step.of(applyUpdate(state, event, time));
   }
@@ -76,9 +97,6 @@
     if (event instanceof DispatchEvent.CatalogueChanged changed) {
       return catalogueChanged(state, changed.catalogue(), time);
     }
-    if (event instanceof DispatchEvent.InstancesAnnounced announced) {
-      return instancesAnnounced(state, announced.instances(), time);
-    }
     if (event instanceof DispatchEvent.InstanceRemoved removed) {
       return state.withInstances(
           state.instances().update(removed.identifier(), view -> view.withRemovedAt(time)));
@@ -95,11 +113,6 @@
     if (event instanceof DispatchEvent.VersionDeclared declared) {
       return versionDeclared(state, declared);
     }
-    if (event instanceof DispatchEvent.InstanceOwnersChanged changed) {
-      return state
-          .withInstances(state.instances().withOwned(changed.ownedInstances()))
-          .withEarliestTakeover(time.plus(changed.takeoverDelay()));
-    }
     return event instanceof DispatchEvent.Stopping stopping
         ? state.withStopStage(stopping.stage())
         : removeExpired(state, time);
@@ -227,7 +240,10 @@
     InstanceTable table = state.instances();
     for (String instance : affected) {
       InstanceLoad sum = state.peers().loadAt(instance);
-      table = table.update(instance, view -> view.withPeerLoad(sum));
+      Optional<InstanceView> known = table.find(instance);
+      if (known.isPresent() && !known.get().peerLoad().equals(sum)) {
+        table = table.with(known.get().withPeerLoad(sum));
+      }
     }
     return state.withInstances(table);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
@@ -62,7 +62,7 @@
                 "event=" + event.getClass().getSimpleName()));
     DispatchState next =
         active.map(known -> RequestCompletion.release(state, known, false)).orElse(state);
-    return new Step<>(next, effects);
+    return new Step<>(next.withStartup(next.startup().without(request.key())), effects);
   }
 
   private static Optional<ServingRequest> requestOf(DispatchState state, DispatchEvent event) {
@@ -70,8 +70,11 @@
       return Optional.of(received.request());
     }
     return keyOf(event)
-        .flatMap(key -> Optional.ofNullable(state.requests().get(key)))
-        .map(ActiveRequest::request);
+        .flatMap(
+            key ->
+                Optional.ofNullable(state.requests().get(key))
+                    .map(ActiveRequest::request)
+                    .or(() -> state.startup().find(key).map(ReceivedRequest::request)));
   }
 
   private static Optional<Long> keyOf(DispatchEvent event) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -1,7 +1,9 @@
 package org.parsleyhead.core.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Rendezvous;
@@ -64,24 +66,55 @@
       Collection<InstanceView> candidates,
       MonotonicTime time) {
     Optional<EngineProfile> engine = service.flatMap(ServiceDefinition::engine);
-    long preferredHash = preferredHash(request, candidates);
-    boolean copyExists =
-        request
-            .request()
-            .work()
-            .map(work -> candidates.stream().anyMatch(view -> hasCopy(view, work.adapter())))
-            .orElse(false);
+    Optional<ModelWork> work = request.request().work();
+    return engine.isPresent() && work.isPresent()
+        ? chooseEngine(request, work.get().adapter(), engine.get(), candidates, time)
+        : choosePlain(request, candidates, time);
+  }
+
+  private Optional<Candidate> choosePlain(
+      ActiveRequest request, Collection<InstanceView> candidates, MonotonicTime time) {
     Candidate best = null;
     for (InstanceView view : candidates) {
+      double cost = plainCost(request, view, time);
+      if (best == null || cost < best.cost()) {
+        best = new Candidate(view, cost, Candidate.LoadRequirement.NONE);
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Chooses among model servers. The preference of a server for a cold load is computed only if
+   * such a load could be chosen at all, since it needs a hash of each server.
+   */
+  private Optional<Candidate> chooseEngine(
+      ActiveRequest request,
+      AdapterKey adapter,
+      EngineProfile engine,
+      Collection<InstanceView> candidates,
+      MonotonicTime time) {
+    boolean copyExists = candidates.stream().anyMatch(view -> hasCopy(view, adapter));
+    List<Candidate> coldLoads = new ArrayList<>();
+    Candidate best = null;
+    for (InstanceView view : candidates) {
+      Candidate candidate = engineCandidate(request, engine, view, copyExists, time);
+      if (coldLoad(candidate, adapter)) {
+        coldLoads.add(candidate);
+      } else if (best == null || candidate.cost() < best.cost()) {
+        best = candidate;
+      }
+    }
+    double limit = best == null ? Double.POSITIVE_INFINITY : best.cost();
+    if (coldLoads.stream().noneMatch(candidate -> candidate.cost() < limit)) {
+      return Optional.ofNullable(best);
+    }
+    String preferred = preferredInstance(adapter, candidates);
+    for (Candidate coldLoad : coldLoads) {
       Candidate candidate =
-          engine.isPresent() && request.request().work().isPresent()
-              ? engineCandidate(
-                  request,
-                  engine.get(),
-                  view,
-                  new AdapterPlacement(preferredHash, copyExists),
-                  time)
-              : new Candidate(view, plainCost(request, view, time), Candidate.LoadRequirement.NONE);
+          coldLoad.view().identifier().equals(preferred)
+              ? coldLoad
+              : coldLoad.withAddedCost(NOT_PREFERRED_COST_MILLISECONDS);
       if (best == null || candidate.cost() < best.cost()) {
         best = candidate;
       }
@@ -89,11 +122,16 @@
     return Optional.ofNullable(best);
   }
 
+  private static boolean coldLoad(Candidate candidate, AdapterKey adapter) {
+    return candidate.loadRequirement() == Candidate.LoadRequirement.REQUIRED
+        && !candidate.view().adapters().formerlyHeld(adapter);
+  }
+
   private Candidate engineCandidate(
       ActiveRequest request,
       EngineProfile engine,
       InstanceView view,
-      AdapterPlacement placement,
+      boolean copyExists,
       MonotonicTime time) {
     ModelWork work = request.request().work().orElseThrow();
     Candidate.LoadRequirement requirement = loadRequirement(view, work.adapter(), time);
@@ -104,11 +142,8 @@
     double cost = Math.max(queueing, loadTime(view, work.adapter(), requirement, time)) + prefill;
     cost += commonCost(view, time) + view.totalLoad().running() * RUNNING_REQUEST_COST_MILLISECONDS;
     if (requirement == Candidate.LoadRequirement.REQUIRED) {
-      if (!view.adapters().formerlyHeld(work.adapter())) {
-        cost +=
-            hash(request, view) == placement.preferredHash() ? 0 : NOT_PREFERRED_COST_MILLISECONDS;
-        cost += placement.copyExists() ? ADDITIONAL_COPY_COST_MILLISECONDS : 0;
-      }
+      boolean additionalCopy = copyExists && !view.adapters().formerlyHeld(work.adapter());
+      cost += additionalCopy ? ADDITIONAL_COPY_COST_MILLISECONDS : 0;
       boolean refused = time.isBefore(view.adapters().loadsRefusedUntil());
       cost += refused || !view.owned() ? LOADS_REFUSED_COST_MILLISECONDS : 0;
     }
@@ -171,33 +206,22 @@
     return view.adapters().holds(adapter) || view.adapters().formerlyHeld(adapter);
   }
 
-  private static long preferredHash(ActiveRequest request, Collection<InstanceView> candidates) {
-    long best = Long.MIN_VALUE;
+  /** Returns the server with the highest rendezvous weight for an adapter. */
+  private static String preferredInstance(AdapterKey adapter, Collection<InstanceView> candidates) {
+    long adapterHash = Rendezvous.hash(adapter.toString());
+    String preferred = "";
+    long highest = Long.MIN_VALUE;
     for (InstanceView view : candidates) {
-      best = Math.max(best, hash(request, view));
+      long weight = Rendezvous.weight(adapterHash, Rendezvous.hash(view.identifier()));
+      if (weight >= highest) {
+        highest = weight;
+        preferred = view.identifier();
+      }
     }
-    return best;
-  }
-
-  private static long hash(ActiveRequest request, InstanceView view) {
-    return request
-        .request()
-        .work()
-        .map(work -> Rendezvous.hash(work.adapter() + "@" + view.identifier()))
-        .orElse(0L);
+    return preferred;
   }
 
   private static double milliseconds(Duration duration) {
     return duration.toNanos() / NANOSECONDS_PER_MILLISECOND;
   }
-
-  /**
-   * Where an adapter should be loaded.
-   *
-   * <p>Immutable and thread-safe.
-   *
-   * @param preferredHash the highest rendezvous hash of all candidates for the adapter
-   * @param copyExists whether some server holds the adapter or held it recently
-   */
-  private record AdapterPlacement(long preferredHash, boolean copyExists) {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.dispatch;
 
 import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
 import org.pcollections.PSet;
 
 /**
@@ -11,6 +12,7 @@
  * @param assignment the current phase and instance
  * @param history the attempts so far
  * @param responseStarted whether a part of the response was written to the caller
+ * @param ownerExpectedAt when a host was last expected to be able to order loads for the request
  * @param loadRequests the number of load requests
  * @param wakeNumber the number of the newest wake event; older events are ignored
  */
@@ -18,11 +20,12 @@
     Assignment assignment,
     AttemptHistory history,
     boolean responseStarted,
+    Optional<MonotonicTime> ownerExpectedAt,
     int loadRequests,
     int wakeNumber) {
 
   static final Progress INITIAL =
-      new Progress(Assignment.WAITING, AttemptHistory.NONE, false, 0, 0);
+      new Progress(Assignment.WAITING, AttemptHistory.NONE, false, Optional.empty(), 0, 0);
 
   Phase phase() {
     return assignment.phase();
@@ -50,11 +53,33 @@
 
   Progress loading(String target) {
     return new Progress(
-        Assignment.loading(target), history, responseStarted, loadRequests + 1, wakeNumber + 1);
+        Assignment.loading(target),
+        history,
+        responseStarted,
+        ownerExpectedAt,
+        loadRequests + 1,
+        wakeNumber + 1);
   }
 
   Progress waiting() {
-    return new Progress(Assignment.WAITING, history, responseStarted, loadRequests, wakeNumber + 1);
+    return new Progress(
+        Assignment.WAITING,
+        history,
+        responseStarted,
+        ownerExpectedAt,
+        loadRequests,
+        wakeNumber + 1);
+  }
+
+  /** Returns this progress while it waits for a host that may order the load. */
+  Progress waitingForOwner(MonotonicTime expectedAt) {
+    return new Progress(
+        Assignment.WAITING,
+        history,
+        responseStarted,
+        Optional.of(expectedAt),
+        loadRequests,
+        wakeNumber + 1);
   }
 
   Progress sent(String target, InstanceLoad load) {
@@ -62,6 +87,7 @@
         Assignment.sent(target, load),
         history.withSent(),
         responseStarted,
+        ownerExpectedAt,
         loadRequests,
         wakeNumber + 1);
   }
@@ -73,6 +99,7 @@
         assignment.withAddedLoad(addedLoad().minus(unread)),
         history,
         true,
+        ownerExpectedAt,
         loadRequests,
         wakeNumber);
   }
@@ -87,20 +114,27 @@
         assignment.withAddedLoad(InstanceLoad.NONE),
         next,
         responseStarted,
+        ownerExpectedAt,
         loadRequests,
         wakeNumber + 1);
   }
 
   Progress withoutExclusions() {
     return new Progress(
-        assignment, history.withoutExclusions(), responseStarted, loadRequests, wakeNumber);
+        assignment,
+        history.withoutExclusions(),
+        responseStarted,
+        ownerExpectedAt,
+        loadRequests,
+        wakeNumber);
   }
 
   Progress withoutLoadRequests() {
-    return new Progress(assignment, history, responseStarted, 0, wakeNumber);
+    return new Progress(assignment, history, responseStarted, ownerExpectedAt, 0, wakeNumber);
   }
 
   Progress withNextWake() {
-    return new Progress(assignment, history, responseStarted, loadRequests, wakeNumber + 1);
+    return new Progress(
+        assignment, history, responseStarted, ownerExpectedAt, loadRequests, wakeNumber + 1);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServingRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServingRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.api.Rendezvous;
 
 /**
  * The metadata of a request as received from a caller.
@@ -35,4 +36,9 @@
     Preconditions.requireNonNull(callerTimeout, "callerTimeout");
     Preconditions.requireNonNull(work, "work");
   }
+
+  /** Returns a hash of the identifier, equal on all hosts. */
+  long hash() {
+    return Rendezvous.hash(identifier);
+  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -27,6 +27,8 @@
 import org.parsleyhead.core.fleet.FleetSettings;
 import org.parsleyhead.core.fleet.FleetState;
 import org.parsleyhead.core.fleet.FleetTransition;
+import org.parsleyhead.core.overload.SpreadRetryAfter;
+import org.parsleyhead.core.overload.WaitPolicy;
 import org.parsleyhead.core.publication.PublicationEffect;
 import org.parsleyhead.core.publication.PublicationEvent;
 import org.parsleyhead.core.publication.PublicationSettings;
@@ -116,6 +118,9 @@
   /** Added to the lease gap for orders that are in transit. */
   private static final Duration LEASE_GAP_MARGIN = Duration.ofMillis(300);
 
+  /** The part of the time until its deadline for which a request may wait for a new owner. */
+  private static final double MAXIMUM_WAIT_FRACTION = 0.7;
+
   private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
 
   private final GatewaySettings settings;
@@ -158,7 +163,7 @@
     this.dispatch =
         new Duty<>(
             dispatchRing,
-            DispatchState.initial(),
+            DispatchState.initial(now),
             new FailureIsolation(new DispatchTransition(dispatchSettings(settings))),
             dispatchExecutor,
             DispatchEvent.Tick::new,
@@ -317,7 +322,9 @@
         settings.retryBurst(),
         settings.retryWindow(),
         settings.allowanceTolerance(),
-        settings.allowanceSlack());
+        settings.allowanceSlack(),
+        new SpreadRetryAfter(),
+        WaitPolicy.upToFraction(MAXIMUM_WAIT_FRACTION));
   }
 
   private static FleetSettings fleetSettings(
