--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -59,9 +59,15 @@
     this.redispatch = redispatch;
   }
 
-  /** Requests the load of the adapter at an instance, or waits for a slot. */
+  /**
+   * Requests the load of the adapter at an instance, or waits for a slot; refuses the request if it
+   * could not be answered after the load.
+   */
   Step<DispatchState, DispatchEffect> request(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
+    if (!settings.waitPolicy().waits(settings.coldLoad(), active.deadline().since(time))) {
+      return refuse(state, active, EXPECTED_SLOT_DELAY, time);
+    }
     if (active.progress().loadRequests() >= MAXIMUM_LOAD_REQUESTS) {
       return loadTimeElapsed(active, time)
           ? refuse(state, active, EXPECTED_SLOT_DELAY, time)
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -426,6 +426,14 @@
           DispatchEffect.RequestLoad.class);
     }
 
+    @Test
+    @DisplayName("refuses a request that could not be answered after a load")
+    void refusesHopelessLoad() {
+      List<DispatchEffect> effects =
+          host.receive("/chat/x", work(UNLOADED_ADAPTER), Duration.ofMillis(400), key -> {});
+      assertEquals(DispatchRefusal.Code.ADAPTER_UNAVAILABLE, refusal(effects));
+    }
+
     @Test
     @DisplayName("does not wait until the deadline for an owner that is overdue")
     void refusesIfOwnerIsOverdue() {
