--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -430,7 +430,7 @@
     @DisplayName("refuses a request that could not be answered after a load")
     void refusesHopelessLoad() {
       List<DispatchEffect> effects =
-          host.receive("/chat/x", work(UNLOADED_ADAPTER), Duration.ofMillis(400), key -> {});
+          host.receive("/chat/x", work(UNLOADED_ADAPTER), Duration.ofMillis(300), key -> {});
       assertEquals(DispatchRefusal.Code.ADAPTER_UNAVAILABLE, refusal(effects));
     }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/LoadReplayTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/LoadReplayTests.java
@@ -14,8 +14,8 @@
 
   private static final int CALLERS_PER_SECOND = 100;
 
-  /** The time from the takeover until a request is answered whose load is ordered at once. */
-  private static final Duration SERVICE_TIME = Duration.ofMillis(800);
+  /** The shortest time in which a request can be answered once loads are possible. */
+  private static final Duration SERVICE_TIME = Duration.ofSeconds(1);
 
   private static Duration milliseconds(long value) {
     return Duration.ofMillis(value);
