Acknowledge frames only where no heartbeat does

Cause: with one connection for both directions, hubs sent an empty frame 250 ms after each message of another host, although their next heartbeat came 250 ms later. Change: an empty frame is sent only 550 ms after an unanswered message (timeout 900 ms). Result: PeerSocketsTests pass.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerConnection.java
@@ -23,6 +23,7 @@
   private long unacknowledgedSince;
   private boolean unacknowledged;
   private boolean acknowledgementOwed;
+  private long owedSince;
 
   private PeerConnection(boolean accepted, int maximumPendingFrames) {
     this.accepted = accepted;
@@ -74,14 +75,20 @@
    *
    * @param message whether it carries a message, which has to be acknowledged
    */
-  void received(boolean message) {
+  void received(boolean message, long now) {
     unacknowledged = false;
-    acknowledgementOwed |= message;
+    if (message && !acknowledgementOwed) {
+      acknowledgementOwed = true;
+      owedSince = now;
+    }
   }
 
-  /** Acknowledges received frames with an empty frame unless a frame has been written since. */
-  void acknowledge() {
-    if (acknowledgementOwed && channel != null) {
+  /**
+   * Acknowledges received frames with an empty frame if no frame has been written since for longer
+   * than a delay.
+   */
+  void acknowledge(long now, long delayNanoseconds) {
+    if (acknowledgementOwed && channel != null && now - owedSince > delayNanoseconds) {
       acknowledgementOwed = false;
       channel.writeAndFlush(emptyFrame(), channel.voidPromise());
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerFrameHandler.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerFrameHandler.java
@@ -33,7 +33,7 @@
   protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
     byte[] bytes = new byte[frame.readableBytes()];
     frame.readBytes(bytes);
-    connection.received(bytes.length > 0);
+    connection.received(bytes.length > 0, System.nanoTime());
     if (bytes.length > 0) {
       receiver.accept(bytes);
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerSockets.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/peers/PeerSockets.java
@@ -46,8 +46,11 @@
   private static final long ACKNOWLEDGEMENT_TIMEOUT_NANOSECONDS =
       TimeUnit.MILLISECONDS.toNanos(900);
 
-  /** Shorter than the interval between heartbeats, which acknowledge too. */
-  private static final long ACKNOWLEDGEMENT_DELAY_MILLISECONDS = 250;
+  /** Longer than the interval between heartbeats, which acknowledge too. */
+  private static final long ACKNOWLEDGEMENT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(550);
+
+  /** With the delay, shorter than the acknowledgement timeout. */
+  private static final long ACKNOWLEDGEMENT_CHECK_MILLISECONDS = 150;
 
   /** The maximum number of frames that wait for a connection to be established. */
   private static final int MAXIMUM_PENDING_FRAMES = 16;
@@ -80,9 +83,9 @@
     eventLoops
         .next()
         .scheduleWithFixedDelay(
-            () -> List.copyOf(open).forEach(PeerConnection::acknowledge),
-            ACKNOWLEDGEMENT_DELAY_MILLISECONDS,
-            ACKNOWLEDGEMENT_DELAY_MILLISECONDS,
+            this::acknowledge,
+            ACKNOWLEDGEMENT_CHECK_MILLISECONDS,
+            ACKNOWLEDGEMENT_CHECK_MILLISECONDS,
             TimeUnit.MILLISECONDS);
     return new ServerBootstrap()
         .group(eventLoops)
@@ -103,6 +106,13 @@
         .channel();
   }
 
+  private void acknowledge() {
+    long now = System.nanoTime();
+    for (PeerConnection connection : List.copyOf(open)) {
+      connection.acknowledge(now, ACKNOWLEDGEMENT_DELAY_NANOSECONDS);
+    }
+  }
+
   /** Sends a message to the host at an endpoint, at most once. */
   public void send(String endpoint, PeerMessage message) {
     byte[] frame = codec.encode(new Envelope(self, message));
