A restarted host does not take a left server from a host that missed its removal

Cause: an update from another host could bring an item that the complete listing of a fresh host lacks; the host has no deletion of it to compare with (it was deleted before the start), so a server that had left, or an older document, came into use again. Change: an unknown item that is not newer than the revision up to which the copy is complete is ignored.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -168,7 +168,9 @@
     Map<String, PublishedItem> changed = new LinkedHashMap<>();
     for (PublishedItem item : items) {
       PublishedItem known = next.get(item.key());
-      if (known == null || known.revision() < item.revision()) {
+      boolean newer =
+          known == null ? !deletedBefore(state, item) : known.revision() < item.revision();
+      if (newer) {
         next = next.plus(item.key(), item);
         changed.put(item.key(), item);
       }
@@ -180,6 +182,14 @@
             new PublicationEffect.Changed(List.copyOf(changed.values()), source));
   }
 
+  /**
+   * Returns whether an unknown item must have been deleted: this copy is complete up to its
+   * revision, so that an older item it lacks comes from a host that has missed the deletion.
+   */
+  private static boolean deletedBefore(PublicationState state, PublishedItem item) {
+    return state.initialized() && item.revision() <= state.revision();
+  }
+
   /** Returns deletions of the items that are older than a complete listing and missing from it. */
   private static List<PublishedItem> deletions(
       PublicationState state, PublicationState.Listing listing) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -91,6 +91,40 @@
     assertEquals(List.of(deletion("a", 30)), ((PublicationEffect.Changed) effects.get(0)).items());
   }
 
+  @Test
+  @DisplayName("brings back nothing after a restart that a complete listing lacks")
+  void bringsBackNothing() {
+    list(20, item("servers/b", 12, "ready"));
+    List<PublicationEffect> effects =
+        apply(
+            new PublicationEvent.UpdateReceived(
+                "peer",
+                List.of(item("servers/a", 5, "ready"), item("servers/c", 21, "ready")),
+                15));
+    assertEquals(
+        List.of(
+            new PublicationEffect.Changed(List.of(item("servers/c", 21, "ready")), "peer=peer")),
+        effects);
+  }
+
+  @Test
+  @DisplayName("brings back nothing that is deleted between a stale listing and the first watch")
+  void appliesDeletionAfterStaleListing() {
+    list(10, item("servers/a", 5, "ready"));
+    List<PublicationEffect> effects =
+        apply(
+            new PublicationEvent.WatchReturned(
+                state.readNumber(), List.of(deletion("servers/a", 12)), 12));
+    assertTrue(
+        effects.contains(
+            new PublicationEffect.Changed(List.of(deletion("servers/a", 12)), "watch")));
+    assertEquals(
+        List.of(),
+        apply(
+            new PublicationEvent.UpdateReceived(
+                "peer", List.of(item("servers/a", 5, "ready")), 10)));
+  }
+
   @Test
   @DisplayName("ignores an outdated update from another host")
   void ignoresOldUpdates() {
