--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -5,14 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.api.Transition;
-import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
-import org.pcollections.PMap;
 
 /**
  * Decides how this host takes part in the fleet: membership, leases, heartbeats and orders to the
@@ -22,13 +19,11 @@
  */
 public final class FleetTransition implements Transition<FleetState, FleetEvent, FleetEffect> {
 
-  /** Multiplies the heartbeat timeout of a host whose contacts are reported only by hubs. */
-  private static final int INDIRECT_TIMEOUT_FACTOR = 4;
-
   private final FleetSettings settings;
   private final Leases leases;
   private final EngineOrderScheduler orders;
   private final Heartbeats heartbeats;
+  private final SilentHosts silentHosts;
   private final HostIdentity self;
 
   /** Creates the transition of a host with the given settings. */
@@ -37,6 +32,7 @@
     this.leases = new Leases(settings);
     this.orders = new EngineOrderScheduler(settings, leases);
     this.heartbeats = new Heartbeats(settings, leases);
+    this.silentHosts = new SilentHosts(settings);
     this.self = HostIdentity.of(settings.self());
   }
 
@@ -136,7 +132,7 @@
             heartbeat.membershipKnown());
     next =
         withStatistics(
-            withAdapterRequests(next, heartbeat.endpoint(), heartbeat.adapterRequests(), time),
+            AdapterUse.record(next, heartbeat.endpoint(), heartbeat.adapterRequests(), time),
             received.incarnation(),
             heartbeat);
     if (heartbeat.leaving()) {
@@ -228,7 +224,8 @@
   private Step<FleetState, FleetEffect> tick(
       FleetState state, FleetEvent.Tick tick, MonotonicTime time) {
     FleetState ticked = state.withLocal(state.local().withWallClock(tick.wallClockMilliseconds()));
-    return detectSilentHosts(ticked.withHubs(Hubs.of(ticked, settings)), time)
+    return silentHosts
+        .detect(ticked.withHubs(Hubs.of(ticked, settings)), time)
         .andThen(next -> leases.updateOwnership(voteForOwnClaims(next, time), time))
         .andThen(next -> orders.tick(withOwnAdapterRequests(next, tick, time), time))
         .andThen(next -> heartbeats.send(next, tick, time))
@@ -247,52 +244,6 @@
     return leases.countVotes(voted.state(), settings.self(), voted.effects(), time);
   }
 
-  /**
-   * Marks hosts as silent after the heartbeat timeout and removes them after the removal timeout.
-   * Only a host that is in contact with a majority may remove others; otherwise the smaller side of
-   * a partition would become a fleet of its own.
-   */
-  private Step<FleetState, FleetEffect> detectSilentHosts(FleetState state, MonotonicTime time) {
-    PMap<String, HostView> hosts = state.hosts();
-    FleetState next = state;
-    List<FleetEffect> effects = new ArrayList<>();
-    boolean changed = false;
-    boolean mayRemove = state.liveHosts().size() + 1 >= state.majority();
-    ContactTimes contacts = ContactTimes.of(state, settings);
-    Set<String> hubs = Set.copyOf(state.hubs());
-    for (HostView host : state.hosts().values()) {
-      MonotonicTime lastContact = contacts.lastContact(host);
-      Duration silence = time.since(lastContact);
-      if (silence.compareTo(settings.heartbeatTimeout()) <= 0) {
-        continue;
-      }
-      if (mayRemove && silence.compareTo(settings.hostRemovalTimeout()) > 0) {
-        hosts = hosts.minus(host.endpoint());
-        changed = true;
-      } else if (host.mayRunRequests() && silence.compareTo(heartbeatTimeout(hubs, host)) > 0) {
-        hosts = hosts.plus(host.endpoint(), host.asSilent(lastContact));
-        next = withAdapterRequests(next, host.endpoint(), Map.of(), time);
-        effects.add(logEvent("host_silent", host.endpoint()));
-        changed = true;
-      }
-    }
-    next = next.withHosts(hosts);
-    if (changed) {
-      effects.add(hostsChanged(next));
-    }
-    return new Step<>(next, effects);
-  }
-
-  /**
-   * Returns the heartbeat timeout of a host; it is longer if contacts are reported only by hubs.
-   */
-  private Duration heartbeatTimeout(Set<String> hubs, HostView host) {
-    boolean direct = hubs.contains(settings.self()) || hubs.contains(host.endpoint());
-    return direct
-        ? settings.heartbeatTimeout()
-        : settings.heartbeatTimeout().multipliedBy(INDIRECT_TIMEOUT_FACTOR);
-  }
-
   private Step<FleetState, FleetEffect> loadNeeded(
       FleetState state, FleetEvent.LoadNeeded needed, MonotonicTime time) {
     LoadRequest request = new LoadRequest(settings.self(), needed.instance(), needed.adapter());
@@ -315,28 +266,9 @@
         : new FleetEffect.LoadRefused(answer.instance(), answer.adapter(), answer.reason());
   }
 
-  private static FleetState withAdapterRequests(
-      FleetState state,
-      String host,
-      Map<String, Map<AdapterKey, Integer>> requests,
-      MonotonicTime time) {
-    FleetState next = state;
-    for (Map.Entry<String, OwnedEngine> engine : state.engines().entrySet()) {
-      Map<AdapterKey, Integer> adapters = requests.getOrDefault(engine.getKey(), Map.of());
-      boolean unchanged =
-          adapters.isEmpty() && !engine.getValue().adapterRequests().containsKey(host);
-      if (!unchanged) {
-        next =
-            next.withEngine(
-                engine.getKey(), engine.getValue().withAdapterRequests(host, adapters, time));
-      }
-    }
-    return next;
-  }
-
   private FleetState withOwnAdapterRequests(
       FleetState state, FleetEvent.Tick tick, MonotonicTime time) {
-    return withAdapterRequests(state, settings.self(), tick.adapterRequests(), time);
+    return AdapterUse.record(state, settings.self(), tick.adapterRequests(), time);
   }
 
   /**
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/MessageHeads.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/MessageHeads.java
@@ -1,14 +1,23 @@
 package org.parsleyhead.gateway.upstreams;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.Optional;
 
-/** Reads what message heads state about the connection and the body. Stateless and thread-safe. */
+/**
+ * Reads and writes what message heads state about the connection and the body. Stateless and
+ * thread-safe.
+ */
 final class MessageHeads {
 
   private static final String KEEP_ALIVE = "Keep-Alive";
@@ -24,8 +33,25 @@
         .map(Duration::ofSeconds);
   }
 
+  /**
+   * Returns a request to an instance, whose body is always sent with its length.
+   *
+   * @param head the head as received from the caller
+   * @param body the body, which is released when the request is written
+   * @param headers the headers for the instance
+   */
+  static FullHttpRequest request(HttpRequest head, ByteBuf body, HttpHeaders headers) {
+    headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+    int length = body.readableBytes();
+    if (length > 0 || !hasNoBody(head)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers, EmptyHttpHeaders.INSTANCE);
+  }
+
   /** Returns whether a request has no body and needs no {@code Content-Length} header. */
-  static boolean hasNoBody(HttpRequest head) {
+  private static boolean hasNoBody(HttpRequest head) {
     boolean noLength =
         !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
             && !head.headers()
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -4,23 +4,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
@@ -51,12 +44,6 @@
   /** The maximum size of one event of a stream. */
   private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
-  /** The time without events after which a stream that can be resumed is reported as silent. */
-  private static final Duration STREAM_SILENCE_TIMEOUT = Duration.ofMillis(1_200);
-
-  /** The interval at which a stream that stays silent is reported again. */
-  private static final Duration STREAM_SILENCE_INTERVAL = Duration.ofMillis(400);
-
   private final DispatchEffect.Send send;
   private final Exchange exchange;
   private final HttpDialect dialect;
@@ -66,6 +53,7 @@
   private final BiConsumer<UpstreamAttempt, AttemptResult> onEnd;
   private final ServerSentEventSplitter events = new ServerSentEventSplitter();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final StreamSilenceTimer silenceTimer = new StreamSilenceTimer(this::reportSilence);
   private Channel channel;
   private HttpResponse response;
   private ResponseHead responseHead;
@@ -76,8 +64,6 @@
   private boolean streamStarted;
   private boolean reusable = true;
   private boolean reusedConnection;
-  private long lastEventNanoseconds;
-  private Future<?> silenceTimeout;
 
   UpstreamAttempt(
       DispatchEffect.Send send,
@@ -136,23 +122,10 @@
     }
     IdleConnectionHandler.removeFrom(connected);
     connected.pipeline().addLast(this);
-    HttpRequest head = exchange.head();
-    HttpHeaders headers = dialect.upstreamHeaders(head, send, exchange.lastEvent());
-    DefaultFullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            head.method(),
-            head.uri(),
-            exchange.body(),
-            headers,
-            EmptyHttpHeaders.INSTANCE);
-    headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
-    int length = request.content().readableBytes();
-    if (length > 0 || !MessageHeads.hasNoBody(head)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
+    HttpHeaders headers = dialect.upstreamHeaders(exchange.head(), send, exchange.lastEvent());
     UnansweredByteLimit.requestWritten(connected);
-    connected.writeAndFlush(request, connected.voidPromise());
+    connected.writeAndFlush(
+        MessageHeads.request(exchange.head(), exchange.body(), headers), connected.voidPromise());
   }
 
   void connectFailed(Throwable cause) {
@@ -297,12 +270,14 @@
     if (ended || complete.length == 0) {
       return;
     }
-    lastEventNanoseconds = System.nanoTime();
+    silenceTimer.eventReceived();
     if (!streamStarted) {
       streamStarted = true;
       listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
       log("first_event");
-      startSilenceTimeout();
+      if (send.repeatable()) {
+        silenceTimer.start(channel.eventLoop());
+      }
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
     exchange.writeEvents(Unpooled.wrappedBuffer(complete), events.lastIdentifier());
@@ -380,38 +355,12 @@
     onEnd.accept(this, result);
   }
 
-  private void startSilenceTimeout() {
-    if (send.repeatable()) {
-      scheduleSilenceCheck(STREAM_SILENCE_TIMEOUT.toNanos());
-    }
-  }
-
-  private void scheduleSilenceCheck(long delayNanoseconds) {
-    silenceTimeout =
-        channel
-            .eventLoop()
-            .schedule(
-                () -> {
-                  long remaining =
-                      lastEventNanoseconds + STREAM_SILENCE_TIMEOUT.toNanos() - System.nanoTime();
-                  if (ended) {
-                    return;
-                  }
-                  if (remaining > 0) {
-                    scheduleSilenceCheck(remaining);
-                    return;
-                  }
-                  listener.accept(new DispatchEvent.StreamSilent(requestKey(), attemptNumber()));
-                  scheduleSilenceCheck(STREAM_SILENCE_INTERVAL.toNanos());
-                },
-                delayNanoseconds,
-                TimeUnit.NANOSECONDS);
+  private void reportSilence() {
+    listener.accept(new DispatchEvent.StreamSilent(requestKey(), attemptNumber()));
   }
 
   private void releaseResources() {
     responseMemory.update(this, 0);
-    if (silenceTimeout != null) {
-      silenceTimeout.cancel(false);
-    }
+    silenceTimer.stop();
   }
 }
