--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/engine/Demand.java
@@ -78,7 +78,7 @@
     return !waiters.isEmpty() && !time.isBefore(notBefore);
   }
 
-  /** Returns whether nobody waits and the failure count is no longer needed. */
+  /** Returns whether no host waits and the failure count is no longer needed. */
   boolean isExpired(MonotonicTime time, Duration retention) {
     return waiters.isEmpty() && !time.isBefore(notBefore.plus(retention));
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/SpreadRetryAfter.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/SpreadRetryAfter.java
@@ -5,7 +5,7 @@
 /**
  * Spreads callers evenly over the time that follows the expected delay.
  *
- * <p>Stateless and thread-safe. No caller is told to return before capacity is expected.
+ * <p>Stateless and thread-safe. The delay is never shorter than the expected one.
  */
 public final class SpreadRetryAfter implements RetryAfterPolicy {
 
