Logs and metrics of the copy of the published items

The logs did not tell a watch that is never answered from a copy that is wrongly taken as complete: neither the time since the store's last answer nor an ignored item was logged, and a request line did not say which catalogue had chosen its route. Change: platform_silent, platform_lost and platform_regained with the length of the silence and the revision; items_ignored; silent_ms in the line of each catalogue; admitted_by in the lines of each request; two gauges. The progress of reading is a record of its own. No decision changed.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -12,7 +12,8 @@
  * <p>Immutable and thread-safe.
  *
  * @param request the request as received
- * @param route the route that matched when the request was received
+ * @param catalogueVersion the version of the catalogue in force when the request was admitted
+ * @param route the route that matched then
  * @param service the service that the request was assigned to
  * @param account the client account; empty if the request carries no known key
  * @param units the units that were charged to the account
@@ -24,6 +25,7 @@
  */
 record ActiveRequest(
     ServingRequest request,
+    long catalogueVersion,
     ServiceRoute route,
     String service,
     Optional<AccountLimits> account,
@@ -36,7 +38,17 @@
 
   ActiveRequest with(Progress next) {
     return new ActiveRequest(
-        request, route, service, account, units, urgency, receivedAt, deadline, prefixHashes, next);
+        request,
+        catalogueVersion,
+        route,
+        service,
+        account,
+        units,
+        urgency,
+        receivedAt,
+        deadline,
+        prefixHashes,
+        next);
   }
 
   long key() {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -147,7 +147,7 @@
       }
       charged = state.withBucket(name, bucket.admit(units));
     }
-    ActiveRequest active = activate(received, route, account, units);
+    ActiveRequest active = activate(charged, received, route, account, units);
     RetryBudget budget =
         charged
             .budget(settings, active.service(), time)
@@ -156,7 +156,11 @@
   }
 
   private static ActiveRequest activate(
-      ReceivedRequest received, ServiceRoute route, Optional<AccountLimits> account, double units) {
+      DispatchState state,
+      ReceivedRequest received,
+      ServiceRoute route,
+      Optional<AccountLimits> account,
+      double units) {
     ServingRequest request = received.request();
     Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
     Duration limit = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
@@ -164,6 +168,7 @@
         account.map(limits -> limits.priority().orElse(route.priority())).orElse(route.priority());
     return new ActiveRequest(
         request,
+        state.catalogue().version(),
         route,
         route.serviceFor(request.hash()),
         account,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -76,7 +76,9 @@
 
   private static String inputs(ActiveRequest active, MonotonicTime time) {
     Progress progress = active.progress();
-    return "sends="
+    return "admitted_by="
+        + active.catalogueVersion()
+        + " sends="
         + progress.attempts()
         + " possible_runs="
         + progress.possibleRuns()
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -163,7 +163,7 @@
             active.route().kind().stream(),
             active.route().kind().repeatable(),
             work.map(requested -> state.versions().of(requested.adapter())).orElse(0L),
-            inputs(candidate, state));
+            inputs(active, candidate, state));
     return Step.<DispatchState, DispatchEffect>of(next, send)
         .andThen(
             before ->
@@ -291,10 +291,12 @@
         .orElse(0L);
   }
 
-  private static String inputs(Candidate candidate, DispatchState state) {
+  private static String inputs(ActiveRequest active, Candidate candidate, DispatchState state) {
     InstanceLoad load = candidate.view().totalLoad();
     return "catalogue="
         + state.catalogue().version()
+        + " admitted_by="
+        + active.catalogueVersion()
         + " cost_ms="
         + Math.round(candidate.cost())
         + " running="
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
@@ -12,8 +12,25 @@
   /** Watches for changes after a revision until the timeout. */
   record Watch(int readNumber, long afterRevision, Duration timeout) implements PublicationEffect {}
 
-  /** Reports the items of the copy that have changed, deletions included. */
-  record Changed(List<PublishedItem> items, String source) implements PublicationEffect {}
+  /**
+   * Reports the items of the copy that have changed, deletions included.
+   *
+   * @param items the changed items
+   * @param source where they come from, for the log
+   * @param platformSilence the time since the platform last answered this host
+   */
+  record Changed(List<PublishedItem> items, String source, Duration platformSilence)
+      implements PublicationEffect {}
+
+  /** Reports unknown items that were not taken because the copy at a revision lacks them. */
+  record Ignored(List<PublishedItem> items, String source, long revision)
+      implements PublicationEffect {
+
+    /** Copies the list. */
+    public Ignored {
+      items = List.copyOf(items);
+    }
+  }
 
   /** Sends the items that changed to another host. */
   record SendUpdate(String host, List<PublishedItem> items, long revision)
@@ -22,6 +39,17 @@
   /** Requests the items that changed after a revision from another host. */
   record RequestUpdate(String host, long afterRevision) implements PublicationEffect {}
 
-  /** Reports that the platform became unreachable, or reachable again. */
-  record Reachability(boolean reachable, String reason) implements PublicationEffect {}
+  /**
+   * Reports that the platform became unreachable, or that it answers again.
+   *
+   * @param reachable whether the last read succeeded
+   * @param reason the outcome of that read
+   * @param silence the time since the answer before it
+   * @param revision the revision up to which the copy was complete before that read
+   */
+  record Reachability(boolean reachable, String reason, Duration silence, long revision)
+      implements PublicationEffect {}
+
+  /** Reports once that a read is in progress and the platform has not answered for a while. */
+  record PlatformSilent(Duration silence, long revision) implements PublicationEffect {}
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationSettings.java
@@ -8,14 +8,18 @@
  * <p>Immutable and thread-safe.
  *
  * @param batchDelay the delay of the next watch after one returned changes, so that a single call
- *     returns several changes
+ *     returns several changes; each call has a price
  * @param retryDelay the delay of the next read after a failed one
  * @param readTimeout the timeout of reading a page, and the extra time allowed for the answer to a
- *     watch
+ *     watch; the store answers within milliseconds, and sixty times slower in slow periods
  * @param watchTimeout how long the platform holds a watch open while nothing changes
- * @param peerUpdateDelay how long another host may be ahead before an update is requested from it
+ * @param peerUpdateDelay how long another host may be ahead before an update is requested from it;
+ *     longer than the heartbeat interval and the batch delay, so that only a host that is refused
+ *     by the platform requests updates
  * @param nonReaderTimeout the time without a newer revision after which a host that leaves reading
  *     to others reads from the platform itself
+ * @param silenceReportDelay the time without an answer after which the platform is reported as
+ *     silent; servers announce themselves more often than this
  */
 public record PublicationSettings(
     Duration batchDelay,
@@ -23,4 +27,17 @@
     Duration readTimeout,
     Duration watchTimeout,
     Duration peerUpdateDelay,
-    Duration nonReaderTimeout) {}
+    Duration nonReaderTimeout,
+    Duration silenceReportDelay) {
+
+  /** The timing of a gateway host. */
+  public static final PublicationSettings DEFAULT =
+      new PublicationSettings(
+          Duration.ofMillis(350),
+          Duration.ofMillis(300),
+          Duration.ofMillis(1_500),
+          Duration.ofSeconds(20),
+          Duration.ofMillis(400),
+          Duration.ofMillis(2_500),
+          Duration.ofMillis(1_000));
+}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.publication;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,21 +42,22 @@
   private Step<PublicationState, PublicationEffect> decide(
       PublicationState state, PublicationEvent event, MonotonicTime time) {
     if (event instanceof PublicationEvent.PageRead page
-        && page.readNumber() == state.readNumber()) {
-      return markReachable(state).andThen(next -> pageRead(next, page, time));
+        && page.readNumber() == state.reads().readNumber()) {
+      return markAnswered(state, time).andThen(next -> pageRead(next, page, time));
     }
     if (event instanceof PublicationEvent.WatchReturned returned
-        && returned.readNumber() == state.readNumber()) {
-      return markReachable(state).andThen(next -> watchReturned(next, returned, time));
+        && returned.readNumber() == state.reads().readNumber()) {
+      return markAnswered(state, time).andThen(next -> watchReturned(next, returned, time));
     }
     if (event instanceof PublicationEvent.HistoryDropped dropped
-        && dropped.readNumber() == state.readNumber()) {
+        && dropped.readNumber() == state.reads().readNumber()) {
       PublicationState relisting =
-          state.withListing(Optional.of(PublicationState.Listing.START)).withNextReadAt(time);
-      return markReachable(relisting).andThen(next -> startRead(next, time));
+          state.withReads(
+              reads -> reads.withListing(Optional.of(StoreReads.Listing.START)).withNextAt(time));
+      return markAnswered(relisting, time).andThen(next -> startRead(next, time));
     }
     if (event instanceof PublicationEvent.ReadFailed failed
-        && failed.readNumber() == state.readNumber()) {
+        && failed.readNumber() == state.reads().readNumber()) {
       return readFailed(state, failed.reason(), time);
     }
     if (event instanceof PublicationEvent.PeerRevision peer) {
@@ -65,7 +67,7 @@
       return Step.of(state, updateFor(state, request));
     }
     if (event instanceof PublicationEvent.UpdateReceived received) {
-      return merge(state, received.items(), "peer=" + received.host())
+      return merge(state, received.items(), "peer=" + received.host(), time)
           .andThen(next -> Step.of(afterUpdate(next, received.revision())));
     }
     if (event instanceof PublicationEvent.ReaderRole role) {
@@ -76,110 +78,142 @@
 
   private Step<PublicationState, PublicationEffect> tick(
       PublicationState state, MonotonicTime time) {
+    StoreReads reads = state.reads();
     Duration limit =
-        state.listing().isPresent()
+        reads.listing().isPresent()
             ? settings.readTimeout()
             : settings.watchTimeout().plus(settings.readTimeout());
     boolean overdue =
-        state.readStartedAt().isPresent()
-            && time.since(state.readStartedAt().get()).compareTo(limit) > 0;
-    return overdue ? readFailed(state, "no answer", time) : startRead(state, time);
+        reads.startedAt().isPresent() && time.since(reads.startedAt().get()).compareTo(limit) > 0;
+    return reportSilence(state, time)
+        .andThen(next -> overdue ? readFailed(next, "no answer", time) : startRead(next, time));
+  }
+
+  private Step<PublicationState, PublicationEffect> reportSilence(
+      PublicationState state, MonotonicTime time) {
+    Duration silence = state.reads().silence(time);
+    return state.reads().startedAt().isEmpty()
+            || state.reads().silenceReported()
+            || silence.compareTo(settings.silenceReportDelay()) < 0
+        ? Step.of(state)
+        : Step.of(
+            state.withReads(StoreReads::withSilenceReported),
+            new PublicationEffect.PlatformSilent(silence, state.revision()));
   }
 
   private Step<PublicationState, PublicationEffect> startRead(
       PublicationState state, MonotonicTime time) {
-    boolean due = state.nextReadAt().isPresent() && !time.isBefore(state.nextReadAt().get());
+    Optional<MonotonicTime> next = state.reads().nextReadAt();
+    boolean due = next.isPresent() && !time.isBefore(next.get());
     boolean quiet =
         time.since(state.revisionAdvancedAt()).compareTo(settings.nonReaderTimeout()) > 0;
     if (!due || !state.reader() && !quiet) {
       return Step.of(state);
     }
-    PublicationState started = state.withReadStarted(time);
+    PublicationState started = state.withReads(reads -> reads.withStarted(time));
+    int readNumber = started.reads().readNumber();
     PublicationEffect effect =
-        started.listing().isPresent()
-            ? new PublicationEffect.ReadPage(
-                started.readNumber(), started.listing().get().afterKey())
-            : new PublicationEffect.Watch(
-                started.readNumber(), started.revision(), settings.watchTimeout());
+        started
+            .reads()
+            .listing()
+            .<PublicationEffect>map(
+                listing -> new PublicationEffect.ReadPage(readNumber, listing.afterKey()))
+            .orElseGet(
+                () ->
+                    new PublicationEffect.Watch(
+                        readNumber, started.revision(), settings.watchTimeout()));
     return Step.of(started, effect);
   }
 
   private Step<PublicationState, PublicationEffect> pageRead(
       PublicationState state, PublicationEvent.PageRead page, MonotonicTime time) {
-    PublicationState.Listing listing = state.listing().orElse(PublicationState.Listing.START);
+    StoreReads.Listing listing = state.reads().listing().orElse(StoreReads.Listing.START);
     List<String> keys = page.items().stream().map(PublishedItem::key).toList();
     long firstRevision = listing.firstRevision() == 0 ? page.revision() : listing.firstRevision();
-    PublicationState.Listing next =
-        new PublicationState.Listing(
+    StoreReads.Listing next =
+        new StoreReads.Listing(
             keys.isEmpty() ? listing.afterKey() : keys.get(keys.size() - 1),
             firstRevision,
             listing.seenKeys().plusAll(keys));
-    Step<PublicationState, PublicationEffect> merged = merge(state, page.items(), "listing");
+    Step<PublicationState, PublicationEffect> merged = merge(state, page.items(), "listing", time);
     if (page.hasMore() && !keys.isEmpty()) {
       return merged.andThen(
-          read -> startRead(read.withListing(Optional.of(next)).withNextReadAt(time), time));
+          read ->
+              startRead(
+                  read.withReads(reads -> reads.withListing(Optional.of(next)).withNextAt(time)),
+                  time));
     }
     return merged
-        .andThen(read -> merge(read, deletions(read, next), "listing"))
+        .andThen(read -> merge(read, deletions(read, next), "listing", time))
         .andThen(
             read ->
                 startRead(
-                    read.withListing(Optional.empty())
-                        .withRevision(firstRevision)
-                        .withNextReadAt(time),
+                    read.withRevision(firstRevision)
+                        .withReads(reads -> reads.withListing(Optional.empty()).withNextAt(time)),
                     time));
   }
 
   private Step<PublicationState, PublicationEffect> watchReturned(
       PublicationState state, PublicationEvent.WatchReturned returned, MonotonicTime time) {
     MonotonicTime next = returned.changes().isEmpty() ? time : time.plus(settings.batchDelay());
-    return merge(state, returned.changes(), "watch")
+    return merge(state, returned.changes(), "watch", time)
         .andThen(
             read ->
                 Step.of(
                     read.withRevision(returned.revision())
                         .withPeerAheadSince(Optional.empty())
-                        .withNextReadAt(next)))
+                        .withReads(reads -> reads.withNextAt(next))))
         .andThen(read -> startRead(read, time));
   }
 
   private Step<PublicationState, PublicationEffect> readFailed(
       PublicationState state, String reason, MonotonicTime time) {
     PublicationState next =
-        state
-            .withReachable(false)
-            .withReadStarted(time)
-            .withNextReadAt(time.plus(settings.retryDelay()));
-    return state.reachable()
-        ? Step.of(next, new PublicationEffect.Reachability(false, reason))
+        state.withReads(reads -> reads.withFailure(time.plus(settings.retryDelay())));
+    return state.reads().reachable()
+        ? Step.of(next, reachability(state, false, reason, time))
         : Step.of(next);
   }
 
-  private static Step<PublicationState, PublicationEffect> markReachable(PublicationState state) {
-    return state.reachable()
-        ? Step.of(state)
-        : Step.of(
-            state.withReachable(true), new PublicationEffect.Reachability(true, "read succeeded"));
+  private static Step<PublicationState, PublicationEffect> markAnswered(
+      PublicationState state, MonotonicTime time) {
+    StoreReads reads = state.reads();
+    PublicationState next = state.withReads(before -> before.withAnswer(time));
+    return reads.reachable() && !reads.silenceReported()
+        ? Step.of(next)
+        : Step.of(next, reachability(state, true, "read succeeded", time));
+  }
+
+  private static PublicationEffect reachability(
+      PublicationState state, boolean reachable, String reason, MonotonicTime time) {
+    return new PublicationEffect.Reachability(
+        reachable, reason, state.reads().silence(time), state.revision());
   }
 
   private static Step<PublicationState, PublicationEffect> merge(
-      PublicationState state, List<PublishedItem> items, String source) {
+      PublicationState state, List<PublishedItem> items, String source, MonotonicTime time) {
     PMap<String, PublishedItem> next = state.items();
     Map<String, PublishedItem> changed = new LinkedHashMap<>();
+    List<PublishedItem> deletedBefore = new ArrayList<>();
     for (PublishedItem item : items) {
       PublishedItem known = next.get(item.key());
-      boolean newer =
-          known == null ? !deletedBefore(state, item) : known.revision() < item.revision();
-      if (newer) {
+      if (known == null && deletedBefore(state, item)) {
+        deletedBefore.add(item);
+      } else if (known == null || known.revision() < item.revision()) {
         next = next.plus(item.key(), item);
         changed.put(item.key(), item);
       }
     }
-    return changed.isEmpty()
-        ? Step.of(state)
-        : Step.of(
-            state.withItems(next),
-            new PublicationEffect.Changed(List.copyOf(changed.values()), source));
+    List<PublicationEffect> effects = new ArrayList<>();
+    if (!deletedBefore.isEmpty()) {
+      effects.add(new PublicationEffect.Ignored(deletedBefore, source, state.revision()));
+    }
+    if (!changed.isEmpty()) {
+      effects.add(
+          new PublicationEffect.Changed(
+              List.copyOf(changed.values()), source, state.reads().silence(time)));
+    }
+    return new Step<>(changed.isEmpty() ? state : state.withItems(next), effects);
   }
 
   /**
@@ -191,8 +225,7 @@
   }
 
   /** Returns deletions of the items that are older than a complete listing and missing from it. */
-  private static List<PublishedItem> deletions(
-      PublicationState state, PublicationState.Listing listing) {
+  private static List<PublishedItem> deletions(PublicationState state, StoreReads.Listing listing) {
     return state.items().values().stream()
         .filter(item -> item.value().isPresent())
         .filter(item -> item.revision() < listing.firstRevision())
@@ -237,9 +270,9 @@
     if (revision == 0) {
       return next;
     }
-    boolean listing = next.listing().isPresent() && next.readStartedAt().isEmpty();
-    return listing
-        ? next.withRevision(revision).withListing(Optional.empty())
+    boolean awaitsPage = next.reads().listing().isPresent() && next.reads().startedAt().isEmpty();
+    return awaitsPage
+        ? next.withRevision(revision).withReads(reads -> reads.withListing(Optional.empty()))
         : next.withRevision(revision);
   }
 }
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
@@ -0,0 +1,102 @@
+package org.parsleyhead.core.publication;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+/**
+ * The progress of reading the published items from the platform.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param readNumber the number of the latest read
+ * @param listing the listing in progress; empty while changes are watched
+ * @param nextReadAt when the next read may start; empty while one is in progress
+ * @param startedAt when the read in progress was started; empty if there is none
+ * @param reachable whether the last read succeeded
+ * @param answeredAt when the platform last answered a read; the start of the process before that
+ * @param silenceReported whether the current silence of the platform has been reported
+ */
+record StoreReads(
+    int readNumber,
+    Optional<Listing> listing,
+    Optional<MonotonicTime> nextReadAt,
+    Optional<MonotonicTime> startedAt,
+    boolean reachable,
+    MonotonicTime answeredAt,
+    boolean silenceReported) {
+
+  static StoreReads startedAt(MonotonicTime time) {
+    return new StoreReads(
+        0, Optional.of(Listing.START), Optional.of(time), Optional.empty(), true, time, false);
+  }
+
+  /** Returns the time since the platform last answered a read. */
+  Duration silence(MonotonicTime time) {
+    return time.since(answeredAt);
+  }
+
+  StoreReads withStarted(MonotonicTime time) {
+    return new StoreReads(
+        readNumber + 1,
+        listing,
+        Optional.empty(),
+        Optional.of(time),
+        reachable,
+        answeredAt,
+        silenceReported);
+  }
+
+  StoreReads withNextAt(MonotonicTime time) {
+    return new StoreReads(
+        readNumber,
+        listing,
+        Optional.of(time),
+        Optional.empty(),
+        reachable,
+        answeredAt,
+        silenceReported);
+  }
+
+  StoreReads withListing(Optional<Listing> next) {
+    return new StoreReads(
+        readNumber, next, nextReadAt, startedAt, reachable, answeredAt, silenceReported);
+  }
+
+  StoreReads withAnswer(MonotonicTime time) {
+    return new StoreReads(readNumber, listing, nextReadAt, startedAt, true, time, false);
+  }
+
+  /** Returns this progress after a failed read, whose successor may start at an instant. */
+  StoreReads withFailure(MonotonicTime next) {
+    return new StoreReads(
+        readNumber + 1,
+        listing,
+        Optional.of(next),
+        Optional.empty(),
+        false,
+        answeredAt,
+        silenceReported);
+  }
+
+  StoreReads withSilenceReported() {
+    return new StoreReads(readNumber, listing, nextReadAt, startedAt, reachable, answeredAt, true);
+  }
+
+  /**
+   * The progress of a listing of all items, page by page.
+   *
+   * <p>Immutable and thread-safe. The pages do not form a snapshot, so changes are watched from the
+   * revision of the first page.
+   *
+   * @param afterKey the key after which the next page starts
+   * @param firstRevision the revision of the first page; 0 before it was read
+   * @param seenKeys the keys of all pages read so far
+   */
+  record Listing(String afterKey, long firstRevision, PSet<String> seenKeys) {
+
+    static final Listing START = new Listing("", 0, HashTreePSet.empty());
+  }
+}
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -21,7 +21,8 @@
           Duration.ofMillis(1500),
           Duration.ofSeconds(20),
           Duration.ofMillis(400),
-          Duration.ofMillis(2500));
+          Duration.ofMillis(2500),
+          Duration.ofMillis(1000));
 
   private final PublicationTransition transition = new PublicationTransition(SETTINGS);
   private MonotonicTime now = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(50));
@@ -48,21 +49,24 @@
 
   private void list(long revision, PublishedItem... items) {
     apply(new PublicationEvent.Tick());
-    apply(new PublicationEvent.PageRead(state.readNumber(), List.of(items), false, revision));
+    apply(
+        new PublicationEvent.PageRead(state.reads().readNumber(), List.of(items), false, revision));
   }
 
   @Test
   @DisplayName("watches for changes from the revision of the first page of a listing")
   void watchesFromFirstPage() {
     apply(new PublicationEvent.Tick());
-    apply(new PublicationEvent.PageRead(state.readNumber(), List.of(item("a", 3, "x")), true, 10));
+    apply(
+        new PublicationEvent.PageRead(
+            state.reads().readNumber(), List.of(item("a", 3, "x")), true, 10));
     List<PublicationEffect> effects =
         apply(
             new PublicationEvent.PageRead(
-                state.readNumber(), List.of(item("b", 12, "y")), false, 14));
+                state.reads().readNumber(), List.of(item("b", 12, "y")), false, 14));
     assertTrue(
         effects.contains(
-            new PublicationEffect.Watch(state.readNumber(), 10, Duration.ofSeconds(20))));
+            new PublicationEffect.Watch(state.reads().readNumber(), 10, Duration.ofSeconds(20))));
   }
 
   @Test
@@ -72,7 +76,7 @@
     List<PublicationEffect> effects =
         apply(
             new PublicationEvent.WatchReturned(
-                state.readNumber(),
+                state.reads().readNumber(),
                 List.of(item("servers/a", 6, "ready"), deletion("servers/a", 7)),
                 7));
     assertEquals(
@@ -83,11 +87,11 @@
   @DisplayName("lists again when history was dropped and detects items that were deleted meanwhile")
   void detectsDeletions() {
     list(5, item("a", 2, "x"), item("b", 3, "y"));
-    apply(new PublicationEvent.HistoryDropped(state.readNumber()));
+    apply(new PublicationEvent.HistoryDropped(state.reads().readNumber()));
     List<PublicationEffect> effects =
         apply(
             new PublicationEvent.PageRead(
-                state.readNumber(), List.of(item("b", 3, "y")), false, 30));
+                state.reads().readNumber(), List.of(item("b", 3, "y")), false, 30));
     assertEquals(List.of(deletion("a", 30)), ((PublicationEffect.Changed) effects.get(0)).items());
   }
 
@@ -103,7 +107,9 @@
                 15));
     assertEquals(
         List.of(
-            new PublicationEffect.Changed(List.of(item("servers/c", 21, "ready")), "peer=peer")),
+            new PublicationEffect.Ignored(List.of(item("servers/a", 5, "ready")), "peer=peer", 20),
+            new PublicationEffect.Changed(
+                List.of(item("servers/c", 21, "ready")), "peer=peer", Duration.ZERO)),
         effects);
   }
 
@@ -114,10 +120,11 @@
     List<PublicationEffect> effects =
         apply(
             new PublicationEvent.WatchReturned(
-                state.readNumber(), List.of(deletion("servers/a", 12)), 12));
+                state.reads().readNumber(), List.of(deletion("servers/a", 12)), 12));
     assertTrue(
         effects.contains(
-            new PublicationEffect.Changed(List.of(deletion("servers/a", 12)), "watch")));
+            new PublicationEffect.Changed(
+                List.of(deletion("servers/a", 12)), "watch", Duration.ZERO)));
     assertEquals(
         List.of(),
         apply(
@@ -153,15 +160,16 @@
   void reportsReachability() {
     list(9, item("a", 8, "x"));
     assertEquals(
-        List.of(new PublicationEffect.Reachability(false, "status 503")),
-        apply(new PublicationEvent.ReadFailed(state.readNumber(), "status 503")));
+        List.of(new PublicationEffect.Reachability(false, "status 503", Duration.ZERO, 9)),
+        apply(new PublicationEvent.ReadFailed(state.reads().readNumber(), "status 503")));
     afterTick(Duration.ofMillis(400));
     assertEquals(
-        List.of(), apply(new PublicationEvent.ReadFailed(state.readNumber(), "status 503")));
+        List.of(),
+        apply(new PublicationEvent.ReadFailed(state.reads().readNumber(), "status 503")));
     afterTick(Duration.ofMillis(400));
     assertEquals(
-        new PublicationEffect.Reachability(true, "read succeeded"),
-        apply(new PublicationEvent.WatchReturned(state.readNumber(), List.of(), 9)).get(0));
+        new PublicationEffect.Reachability(true, "read succeeded", Duration.ofMillis(800), 9),
+        apply(new PublicationEvent.WatchReturned(state.reads().readNumber(), List.of(), 9)).get(0));
   }
 
   @Test
@@ -170,7 +178,8 @@
     list(9, item("a", 8, "x"));
     apply(new PublicationEvent.ReaderRole(false));
     assertEquals(
-        List.of(), apply(new PublicationEvent.WatchReturned(state.readNumber(), List.of(), 9)));
+        List.of(),
+        apply(new PublicationEvent.WatchReturned(state.reads().readNumber(), List.of(), 9)));
     assertEquals(List.of(), afterTick(Duration.ofMillis(400)));
     assertEquals(
         List.of(new PublicationEffect.RequestUpdate("peer", 9)),
@@ -183,6 +192,10 @@
   void failsUnansweredWatch() {
     list(9, item("a", 8, "x"));
     List<PublicationEffect> effects = afterTick(Duration.ofSeconds(22));
-    assertEquals(List.of(new PublicationEffect.Reachability(false, "no answer")), effects);
+    assertEquals(
+        List.of(
+            new PublicationEffect.PlatformSilent(Duration.ofSeconds(22), 9),
+            new PublicationEffect.Reachability(false, "no answer", Duration.ofSeconds(22), 9)),
+        effects);
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
 import org.parsleyhead.runtime.duty.Ring;
 import org.parsleyhead.runtime.metrics.MetricName;
@@ -12,6 +13,8 @@
 /** The metrics of a gateway host. Thread-safe. */
 final class GatewayMetrics {
 
+  private static final double MILLISECONDS_PER_SECOND = 1_000;
+
   private static final MetricName REQUEST_TIME = MetricName.of("parsleyhead_request_seconds");
   private static final MetricName REFUSALS = MetricName.of("parsleyhead_refusals_total");
   private static final MetricName SENDS = MetricName.of("parsleyhead_sends_total");
@@ -25,6 +28,10 @@
   private static final MetricName HOSTS = MetricName.of("parsleyhead_live_hosts");
   private static final MetricName CATALOGUE = MetricName.of("parsleyhead_catalogue_version");
 
+  private static final MetricName REVISION = MetricName.of("parsleyhead_publication_revision");
+  private static final MetricName SILENCE =
+      MetricName.of("parsleyhead_publication_silence_seconds");
+
   private final Metrics metrics = new Metrics(new MetricRegistry());
 
   /** Registers the gauges, whose values are read whenever the metrics are rendered. */
@@ -34,6 +41,12 @@
     metrics.gauge(CATALOGUE, catalogueVersion::getAsLong);
   }
 
+  /** Registers the gauges of the copy of the published items. */
+  void registerPublicationGauges(LongSupplier revision, Supplier<Duration> silence) {
+    metrics.gauge(REVISION, revision::getAsLong);
+    metrics.gauge(SILENCE, () -> silence.get().toMillis() / MILLISECONDS_PER_SECOND);
+  }
+
   void registerRing(Ring<?> ring) {
     metrics.registerRing(ring);
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -86,29 +86,6 @@
   /** Reports describe a state that is several hundred milliseconds old. */
   private static final Duration MAXIMUM_REPORT_LAG = Duration.ofMillis(500);
 
-  /**
-   * Saves calls to the store, each of which has a price; changes may take two seconds to take
-   * effect.
-   */
-  private static final Duration BATCH_DELAY = Duration.ofMillis(350);
-
-  private static final Duration RETRY_DELAY = Duration.ofMillis(300);
-
-  /** The store answers within milliseconds, and sixty times slower in slow periods. */
-  private static final Duration READ_TIMEOUT = Duration.ofMillis(1_500);
-
-  /** Below the maximum wait that the store grants. */
-  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
-
-  /**
-   * Longer than the heartbeat interval and the batch delay, so that only a host that is refused by
-   * the platform requests updates from other hosts.
-   */
-  private static final Duration PEER_UPDATE_DELAY = Duration.ofMillis(400);
-
-  /** Longer than the interval between the announcements of a server. */
-  private static final Duration NON_READER_TIMEOUT = Duration.ofMillis(2_500);
-
   /** The load balancer polls once per second and removes a host after two failed polls. */
   private static final Duration BALANCER_DETECTION_TIME = Duration.ofMillis(2_700);
 
@@ -175,7 +152,7 @@
         new Duty<>(
             publicationRing,
             PublicationState.initial(now),
-            new PublicationTransition(publicationSettings()),
+            new PublicationTransition(PublicationSettings.DEFAULT),
             new PublicationEffectExecutor(
                 self,
                 platform.source(),
@@ -219,6 +196,9 @@
         () -> dispatch.state().activeRequests(),
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
+    metrics.registerPublicationGauges(
+        () -> publication.state().revision(),
+        () -> clock.now().since(publication.state().answeredAt()));
   }
 
   /** Starts a host and returns once its ports are open. */
@@ -345,14 +325,4 @@
         ORDER_TIMEOUT,
         MAXIMUM_REPORT_LAG);
   }
-
-  private static PublicationSettings publicationSettings() {
-    return new PublicationSettings(
-        BATCH_DELAY,
-        RETRY_DELAY,
-        READ_TIMEOUT,
-        WATCH_TIMEOUT,
-        PEER_UPDATE_DELAY,
-        NON_READER_TIMEOUT);
-  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -71,15 +71,60 @@
       peers.send(update.host(), new PublicationUpdate(update.items(), update.revision()));
     } else if (effect instanceof PublicationEffect.RequestUpdate request) {
       peers.send(request.host(), new PublicationUpdateRequest(self, request.afterRevision()));
+    } else if (effect instanceof PublicationEffect.Ignored ignored) {
+      logIgnored(ignored);
+    } else if (effect instanceof PublicationEffect.PlatformSilent silent) {
+      LOG.warning(
+          "platform_silent",
+          "silent_ms",
+          silent.silence().toMillis(),
+          "revision",
+          silent.revision());
     } else if (effect instanceof PublicationEffect.Reachability reachability) {
-      if (reachability.reachable()) {
-        LOG.info("platform_regained", "reason", reachability.reason());
-      } else {
-        LOG.warning("platform_lost", "reason", reachability.reason());
-      }
+      logReachability(reachability);
+    }
+  }
+
+  private static void logReachability(PublicationEffect.Reachability reachability) {
+    if (reachability.reachable()) {
+      LOG.info(
+          "platform_regained",
+          "reason",
+          reachability.reason(),
+          "silent_ms",
+          reachability.silence().toMillis(),
+          "revision",
+          reachability.revision());
+    } else {
+      LOG.warning(
+          "platform_lost",
+          "reason",
+          reachability.reason(),
+          "silent_ms",
+          reachability.silence().toMillis(),
+          "revision",
+          reachability.revision());
     }
   }
 
+  private static void logIgnored(PublicationEffect.Ignored ignored) {
+    PublishedItem first = ignored.items().get(0);
+    LOG.info(
+        "items_ignored",
+        "reason",
+        "not in the complete copy",
+        "count",
+        ignored.items().size(),
+        "first_key",
+        first.key(),
+        "first_revision",
+        first.revision(),
+        "heard_from",
+        ignored.source(),
+        "complete_to",
+        ignored.revision());
+  }
+
   private void distributeChanges(PublicationEffect.Changed changed) {
     List<Instance> announced = new ArrayList<>();
     for (PublishedItem item : changed.items()) {
@@ -88,7 +133,7 @@
         announced.add(announcement.instance());
         announcements.announced(announcement.instance(), item.revision(), changed.source());
       } else {
-        distribute(decoded, item, changed.source());
+        distribute(decoded, item, changed);
       }
     }
     if (!announced.isEmpty()) {
@@ -97,7 +142,9 @@
     }
   }
 
-  private void distribute(DecodedItem decoded, PublishedItem item, String itemSource) {
+  private void distribute(
+      DecodedItem decoded, PublishedItem item, PublicationEffect.Changed changed) {
+    String itemSource = changed.source();
     if (decoded instanceof DecodedItem.Catalogue catalogue) {
       LOG.info(
           "catalogue",
@@ -106,7 +153,9 @@
           "revision",
           item.revision(),
           "heard_from",
-          itemSource);
+          itemSource,
+          "silent_ms",
+          changed.platformSilence().toMillis());
       dispatch.offer(new DispatchEvent.CatalogueChanged(catalogue.catalogue()));
       fleet.offer(new FleetEvent.CatalogueChanged(catalogue.catalogue()));
     } else if (decoded instanceof DecodedItem.Removal removal) {
