A reader of the store never waits longer than 0.8 s without an answer

What callers saw: for up to 10 s after a store had been silent, withdrawn keys and old routes were served (CONFIG), and new ones refused (DENIED). Cause: all hosts held a watch of 20 s that the store had forgotten, on connections without an error; none could tell the others. Evidence: platform_silent on all six hosts from 8.0 s, no answer and no change of the revision until 21.9 s, nothing ignored. Change: a watch lasts 0.5 s; 0.3 s after its end another one is started beside it on a connection of its own, and the answer to either is taken.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
@@ -6,11 +6,12 @@
 /** The effects of {@link PublicationTransition}. Implementations are immutable and thread-safe. */
 public sealed interface PublicationEffect {
 
-  /** Reads the page of items that starts after a key. */
-  record ReadPage(int readNumber, String afterKey) implements PublicationEffect {}
+  /** Reads the page of items that starts after a key, on a numbered connection. */
+  record ReadPage(int readNumber, int connection, String afterKey) implements PublicationEffect {}
 
-  /** Watches for changes after a revision until the timeout. */
-  record Watch(int readNumber, long afterRevision, Duration timeout) implements PublicationEffect {}
+  /** Watches for changes after a revision until the timeout, on a numbered connection. */
+  record Watch(int readNumber, int connection, long afterRevision, Duration timeout)
+      implements PublicationEffect {}
 
   /**
    * Reports the items of the copy that have changed, deletions included.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -19,6 +19,11 @@
  *
  * <p>Immutable and thread-safe. For each key the item with the highest revision wins, so that a
  * stale read or an old update never reverts a newer change.
+ *
+ * <p>A connection can go silent without an error, for all hosts at one moment. A reader therefore
+ * has a read answered within the timeout of a watch and the answer delay, or starts another one on
+ * a new connection; the answer of a watch is taken whenever it comes, since what it holds remains
+ * true.
  */
 public final class PublicationTransition
     implements Transition<PublicationState, PublicationEvent, PublicationEffect> {
@@ -45,8 +50,7 @@
         && page.readNumber() == state.reads().readNumber()) {
       return markAnswered(state, time).andThen(next -> pageRead(next, page, time));
     }
-    if (event instanceof PublicationEvent.WatchReturned returned
-        && returned.readNumber() == state.reads().readNumber()) {
+    if (event instanceof PublicationEvent.WatchReturned returned) {
       return markAnswered(state, time).andThen(next -> watchReturned(next, returned, time));
     }
     if (event instanceof PublicationEvent.HistoryDropped dropped
@@ -78,15 +82,30 @@
 
   private Step<PublicationState, PublicationEffect> tick(
       PublicationState state, MonotonicTime time) {
+    return reportSilence(state, time)
+        .andThen(next -> endOverdueRead(next, time))
+        .andThen(next -> startRead(next, time));
+  }
+
+  private Step<PublicationState, PublicationEffect> endOverdueRead(
+      PublicationState state, MonotonicTime time) {
     StoreReads reads = state.reads();
+    boolean listing = reads.listing().isPresent();
     Duration limit =
-        reads.listing().isPresent()
-            ? settings.readTimeout()
-            : settings.watchTimeout().plus(settings.readTimeout());
+        listing ? settings.readTimeout() : settings.watchTimeout().plus(settings.answerDelay());
     boolean overdue =
-        reads.startedAt().isPresent() && time.since(reads.startedAt().get()).compareTo(limit) > 0;
-    return reportSilence(state, time)
-        .andThen(next -> overdue ? readFailed(next, "no answer", time) : startRead(next, time));
+        reads.startedAt().isPresent() && time.since(reads.startedAt().get()).compareTo(limit) >= 0;
+    if (!overdue) {
+      return Step.of(state);
+    }
+    return listing
+        ? readFailed(state, "no answer", time)
+        : Step.of(state.withReads(read -> read.withLateAnswer(nextWatchAt(state, time))));
+  }
+
+  /** Returns when to watch again after a watch that brought nothing. */
+  private MonotonicTime nextWatchAt(PublicationState state, MonotonicTime time) {
+    return state.reader() ? time : time.plus(settings.nonReaderTimeout());
   }
 
   private Step<PublicationState, PublicationEffect> reportSilence(
@@ -112,16 +131,18 @@
     }
     PublicationState started = state.withReads(reads -> reads.withStarted(time));
     int readNumber = started.reads().readNumber();
+    int connection = started.reads().connection();
     PublicationEffect effect =
         started
             .reads()
             .listing()
             .<PublicationEffect>map(
-                listing -> new PublicationEffect.ReadPage(readNumber, listing.afterKey()))
+                listing ->
+                    new PublicationEffect.ReadPage(readNumber, connection, listing.afterKey()))
             .orElseGet(
                 () ->
                     new PublicationEffect.Watch(
-                        readNumber, started.revision(), settings.watchTimeout()));
+                        readNumber, connection, started.revision(), settings.watchTimeout()));
     return Step.of(started, effect);
   }
 
@@ -155,14 +176,20 @@
 
   private Step<PublicationState, PublicationEffect> watchReturned(
       PublicationState state, PublicationEvent.WatchReturned returned, MonotonicTime time) {
-    MonotonicTime next = returned.changes().isEmpty() ? time : time.plus(settings.batchDelay());
-    return merge(state, returned.changes(), "watch", time)
-        .andThen(
-            read ->
-                Step.of(
-                    read.withRevision(returned.revision())
-                        .withPeerAheadSince(Optional.empty())
-                        .withReads(reads -> reads.withNextAt(next))))
+    Step<PublicationState, PublicationEffect> merged =
+        merge(state, returned.changes(), "watch", time)
+            .andThen(
+                read ->
+                    Step.of(
+                        read.withRevision(returned.revision())
+                            .withPeerAheadSince(Optional.empty())));
+    if (returned.readNumber() != state.reads().readNumber()) {
+      return merged;
+    }
+    MonotonicTime next =
+        returned.changes().isEmpty() ? nextWatchAt(state, time) : time.plus(settings.batchDelay());
+    return merged
+        .andThen(read -> Step.of(read.withReads(reads -> reads.withNextAt(next))))
         .andThen(read -> startRead(read, time));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
@@ -12,6 +12,8 @@
  * <p>Immutable and thread-safe.
  *
  * @param readNumber the number of the latest read
+ * @param connection the number of the connection that reads use; a new one after each read whose
+ *     answer is late or that failed
  * @param listing the listing in progress; empty while changes are watched
  * @param nextReadAt when the next read may start; empty while one is in progress
  * @param startedAt when the read in progress was started; empty if there is none
@@ -21,6 +23,7 @@
  */
 record StoreReads(
     int readNumber,
+    int connection,
     Optional<Listing> listing,
     Optional<MonotonicTime> nextReadAt,
     Optional<MonotonicTime> startedAt,
@@ -30,7 +33,7 @@
 
   static StoreReads startedAt(MonotonicTime time) {
     return new StoreReads(
-        0, Optional.of(Listing.START), Optional.of(time), Optional.empty(), true, time, false);
+        0, 0, Optional.of(Listing.START), Optional.of(time), Optional.empty(), true, time, false);
   }
 
   /** Returns the time since the platform last answered a read. */
@@ -41,6 +44,7 @@
   StoreReads withStarted(MonotonicTime time) {
     return new StoreReads(
         readNumber + 1,
+        connection,
         listing,
         Optional.empty(),
         Optional.of(time),
@@ -52,6 +56,7 @@
   StoreReads withNextAt(MonotonicTime time) {
     return new StoreReads(
         readNumber,
+        connection,
         listing,
         Optional.of(time),
         Optional.empty(),
@@ -62,17 +67,26 @@
 
   StoreReads withListing(Optional<Listing> next) {
     return new StoreReads(
-        readNumber, next, nextReadAt, startedAt, reachable, answeredAt, silenceReported);
+        readNumber,
+        connection,
+        next,
+        nextReadAt,
+        startedAt,
+        reachable,
+        answeredAt,
+        silenceReported);
   }
 
   StoreReads withAnswer(MonotonicTime time) {
-    return new StoreReads(readNumber, listing, nextReadAt, startedAt, true, time, false);
+    return new StoreReads(
+        readNumber, connection, listing, nextReadAt, startedAt, true, time, false);
   }
 
   /** Returns this progress after a failed read, whose successor may start at an instant. */
   StoreReads withFailure(MonotonicTime next) {
     return new StoreReads(
         readNumber + 1,
+        connection + 1,
         listing,
         Optional.of(next),
         Optional.empty(),
@@ -81,8 +95,25 @@
         silenceReported);
   }
 
+  /**
+   * Returns this progress after an answer that is late; the next read may start at an instant, on a
+   * connection of its own, and the answer is still taken if it comes.
+   */
+  StoreReads withLateAnswer(MonotonicTime next) {
+    return new StoreReads(
+        readNumber,
+        connection + 1,
+        listing,
+        Optional.of(next),
+        Optional.empty(),
+        reachable,
+        answeredAt,
+        silenceReported);
+  }
+
   StoreReads withSilenceReported() {
-    return new StoreReads(readNumber, listing, nextReadAt, startedAt, reachable, answeredAt, true);
+    return new StoreReads(
+        readNumber, connection, listing, nextReadAt, startedAt, reachable, answeredAt, true);
   }
 
   /**
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -61,10 +61,15 @@
   public void accept(PublicationEffect effect) {
     if (effect instanceof PublicationEffect.ReadPage page) {
       metrics.publicationRead("page");
-      source.readPage(page.readNumber(), page.afterKey(), publication::offer);
+      source.readPage(page.readNumber(), page.connection(), page.afterKey(), publication::offer);
     } else if (effect instanceof PublicationEffect.Watch watch) {
       metrics.publicationRead("watch");
-      source.watch(watch.readNumber(), watch.afterRevision(), watch.timeout(), publication::offer);
+      source.watch(
+          watch.readNumber(),
+          watch.connection(),
+          watch.afterRevision(),
+          watch.timeout(),
+          publication::offer);
     } else if (effect instanceof PublicationEffect.Changed changed) {
       distributeChanges(changed);
     } else if (effect instanceof PublicationEffect.SendUpdate update) {
