No host counts its copy as complete where deletions or items are missing

Cause: an update from another host claimed to be complete up to a revision without saying from which one; a host that had listed afresh knew no earlier deletion; since such a gap was kept, against a listing too. Change: an update names the revision after which it begins, or holds the whole copy; a whole copy and a page that are not older than the copy decide what exists. New message code 108.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -60,7 +60,7 @@
               unpacker ->
                   new PublicationUpdateRequest(unpacker.unpackString(), unpacker.unpackLong())),
           new MessageType<>(
-              105,
+              108,
               PublicationUpdate.class,
               FleetMessageTypes::writeUpdate,
               FleetMessageTypes::readUpdate));
@@ -191,7 +191,8 @@
 
   private static void writeUpdate(PublicationUpdate message, MessagePacker packer)
       throws IOException {
-    packer.packLong(message.revision()).packArrayHeader(message.items().size());
+    packer.packLong(message.afterRevision()).packLong(message.revision());
+    packer.packArrayHeader(message.items().size());
     for (PublishedItem item : message.items()) {
       packer.packString(item.key()).packLong(item.revision());
       packer.packBoolean(item.value().isPresent());
@@ -202,6 +203,7 @@
   }
 
   private static PublicationUpdate readUpdate(MessageUnpacker unpacker) throws IOException {
+    final long afterRevision = unpacker.unpackLong();
     final long revision = unpacker.unpackLong();
     int size = unpacker.unpackArrayHeader();
     List<PublishedItem> items = new ArrayList<>();
@@ -212,7 +214,7 @@
           unpacker.unpackBoolean() ? Optional.of(unpacker.unpackString()) : Optional.empty();
       items.add(new PublishedItem(key, itemRevision, value));
     }
-    return new PublicationUpdate(items, revision);
+    return new PublicationUpdate(items, afterRevision, revision);
   }
 
   private static void writeReport(AdapterReport report, MessagePacker packer) throws IOException {
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -61,6 +61,7 @@
             List.of(
                 new PublishedItem("servers/a", 4, Optional.of("{}")),
                 new PublishedItem("servers/b", 5, Optional.empty())),
+            3,
             5));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
@@ -33,8 +33,15 @@
     }
   }
 
-  /** Sends the items that changed to another host. */
-  record SendUpdate(String host, List<PublishedItem> items, long revision)
+  /**
+   * Sends items to another host.
+   *
+   * @param host the other host
+   * @param items the items that changed after a revision
+   * @param afterRevision that revision; 0 for all items, so that what they lack has been deleted
+   * @param revision the revision up to which they are complete; 0 if this host does not know
+   */
+  record SendUpdate(String host, List<PublishedItem> items, long afterRevision, long revision)
       implements PublicationEffect {}
 
   /** Requests the items that changed after a revision from another host. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEvent.java
@@ -25,9 +25,22 @@
   /** Another host requested the items that changed after a revision. */
   record UpdateRequested(String host, long afterRevision) implements PublicationEvent {}
 
-  /** Another host sent changed items, complete up to a revision. */
-  record UpdateReceived(String host, List<PublishedItem> items, long revision)
-      implements PublicationEvent {}
+  /**
+   * Another host sent items.
+   *
+   * @param host the other host
+   * @param items the items that changed after a revision
+   * @param afterRevision that revision; 0 for all items, so that what they lack has been deleted
+   * @param revision the revision up to which they are complete; 0 if the host does not know
+   */
+  record UpdateReceived(String host, List<PublishedItem> items, long afterRevision, long revision)
+      implements PublicationEvent {
+
+    /** Returns whether the items are all that exist at the revision. */
+    boolean wholeCopy() {
+      return afterRevision == 0 && revision > 0;
+    }
+  }
 
   /** Sets whether this host reads from the platform itself. */
   record ReaderRole(boolean reader) implements PublicationEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
 import org.parsleyhead.core.api.Step;
@@ -71,8 +73,7 @@
       return Step.of(state, updateFor(state, request));
     }
     if (event instanceof PublicationEvent.UpdateReceived received) {
-      return merge(state, received.items(), "peer=" + received.host(), time)
-          .andThen(next -> Step.of(afterUpdate(next, received.revision())));
+      return updateReceived(state, received, time);
     }
     if (event instanceof PublicationEvent.ReaderRole role) {
       return Step.of(state.withReader(role.reader()));
@@ -156,7 +157,8 @@
             keys.isEmpty() ? listing.afterKey() : keys.get(keys.size() - 1),
             firstRevision,
             listing.seenKeys().plusAll(keys));
-    Step<PublicationState, PublicationEffect> merged = merge(state, page.items(), "listing", time);
+    Step<PublicationState, PublicationEffect> merged =
+        merge(state, page.items(), "listing", inPage(state, page.revision()), time);
     if (page.hasMore() && !keys.isEmpty()) {
       return merged.andThen(
           read ->
@@ -165,11 +167,19 @@
                   time));
     }
     return merged
-        .andThen(read -> merge(read, deletions(read, next), "listing", time))
+        .andThen(
+            read ->
+                merge(
+                    read,
+                    deletions(read, firstRevision, next.seenKeys()),
+                    "listing",
+                    changed(read),
+                    time))
         .andThen(
             read ->
                 startRead(
                     read.withRevision(firstRevision)
+                        .withDeletionsKnownFrom(firstRevision)
                         .withReads(reads -> reads.withListing(Optional.empty()).withNextAt(time)),
                     time));
   }
@@ -177,7 +187,7 @@
   private Step<PublicationState, PublicationEffect> watchReturned(
       PublicationState state, PublicationEvent.WatchReturned returned, MonotonicTime time) {
     Step<PublicationState, PublicationEffect> merged =
-        merge(state, returned.changes(), "watch", time)
+        merge(state, returned.changes(), "watch", changed(state), time)
             .andThen(
                 read ->
                     Step.of(
@@ -218,22 +228,26 @@
   }
 
   private static Step<PublicationState, PublicationEffect> merge(
-      PublicationState state, List<PublishedItem> items, String source, MonotonicTime time) {
+      PublicationState state,
+      List<PublishedItem> items,
+      String source,
+      MergeRule rule,
+      MonotonicTime time) {
     PMap<String, PublishedItem> next = state.items();
     Map<String, PublishedItem> changed = new LinkedHashMap<>();
-    List<PublishedItem> deletedBefore = new ArrayList<>();
+    List<PublishedItem> ignored = new ArrayList<>();
     for (PublishedItem item : items) {
-      PublishedItem known = next.get(item.key());
-      if (known == null && deletedBefore(state, item)) {
-        deletedBefore.add(item);
-      } else if (known == null || known.revision() < item.revision()) {
+      Optional<PublishedItem> known = Optional.ofNullable(next.get(item.key()));
+      if (rule.accepts(known, item)) {
         next = next.plus(item.key(), item);
         changed.put(item.key(), item);
+      } else if (known.isEmpty()) {
+        ignored.add(item);
       }
     }
     List<PublicationEffect> effects = new ArrayList<>();
-    if (!deletedBefore.isEmpty()) {
-      effects.add(new PublicationEffect.Ignored(deletedBefore, source, state.revision()));
+    if (!ignored.isEmpty()) {
+      effects.add(new PublicationEffect.Ignored(ignored, source, state.revision()));
     }
     if (!changed.isEmpty()) {
       effects.add(
@@ -243,21 +257,44 @@
     return new Step<>(changed.isEmpty() ? state : state.withItems(next), effects);
   }
 
+  /** Decides whether an item replaces what the copy holds for its key. */
+  @FunctionalInterface
+  private interface MergeRule {
+    boolean accepts(Optional<PublishedItem> known, PublishedItem item);
+  }
+
   /**
-   * Returns whether an unknown item must have been deleted: this copy is complete up to its
-   * revision, so that an older item it lacks comes from a host that has missed the deletion.
+   * Returns the rule for changes. An unknown item that is not newer than the revision up to which
+   * the copy is complete has been deleted: it comes from a host that has missed the deletion.
    */
-  private static boolean deletedBefore(PublicationState state, PublishedItem item) {
-    return state.initialized() && item.revision() <= state.revision();
+  private static MergeRule changed(PublicationState state) {
+    return (known, item) ->
+        known.isEmpty()
+            ? !state.initialized() || item.revision() > state.revision()
+            : known.get().revision() < item.revision();
   }
 
-  /** Returns deletions of the items that are older than a complete listing and missing from it. */
-  private static List<PublishedItem> deletions(PublicationState state, StoreReads.Listing listing) {
+  /**
+   * Returns the rule for the items of a page at a revision. A page that is not older than the copy
+   * or its deletion of an item shows that the item exists.
+   */
+  private static MergeRule inPage(PublicationState state, long pageRevision) {
+    MergeRule changed = changed(state);
+    return (known, item) ->
+        changed.accepts(known, item)
+            || known
+                .map(copy -> copy.value().isEmpty() && copy.revision() <= pageRevision)
+                .orElse(state.revision() <= pageRevision);
+  }
+
+  /** Returns deletions, at a revision, of the older items of a copy that are not among the keys. */
+  private static List<PublishedItem> deletions(
+      PublicationState state, long revision, Set<String> keys) {
     return state.items().values().stream()
         .filter(item -> item.value().isPresent())
-        .filter(item -> item.revision() < listing.firstRevision())
-        .filter(item -> !listing.seenKeys().contains(item.key()))
-        .map(item -> new PublishedItem(item.key(), listing.firstRevision(), Optional.empty()))
+        .filter(item -> item.revision() < revision)
+        .filter(item -> !keys.contains(item.key()))
+        .map(item -> new PublishedItem(item.key(), revision, Optional.empty()))
         .toList();
   }
 
@@ -278,28 +315,64 @@
         : Step.of(state.withPeerAheadSince(Optional.of(since)));
   }
 
+  /**
+   * Returns the update for another host. It holds the whole copy if this one lacks deletions that
+   * the other host may have missed too.
+   */
   private static PublicationEffect updateFor(
       PublicationState state, PublicationEvent.UpdateRequested request) {
+    long afterRevision =
+        request.afterRevision() < state.deletionsKnownFrom() ? 0 : request.afterRevision();
     List<PublishedItem> items =
         state.items().values().stream()
-            .filter(item -> item.revision() > request.afterRevision())
+            .filter(item -> item.revision() > afterRevision)
             .sorted(Comparator.comparingLong(PublishedItem::revision))
             .toList();
-    return new PublicationEffect.SendUpdate(request.host(), items, state.revision());
+    return new PublicationEffect.SendUpdate(request.host(), items, afterRevision, state.revision());
+  }
+
+  /** Merges an update from another host, whose whole copy is as good as a listing. */
+  private static Step<PublicationState, PublicationEffect> updateReceived(
+      PublicationState state, PublicationEvent.UpdateReceived update, MonotonicTime time) {
+    String source = "peer=" + update.host();
+    long revision = update.revision();
+    PublicationState current = state.withPeerAheadSince(Optional.empty());
+    if (!update.wholeCopy()) {
+      return merge(current, update.items(), source, changed(state), time)
+          .andThen(next -> Step.of(afterChanges(next, update)));
+    }
+    Step<PublicationState, PublicationEffect> merged =
+        merge(current, update.items(), source, inPage(state, revision), time);
+    if (revision <= state.revision()) {
+      return merged;
+    }
+    Set<String> keys =
+        update.items().stream()
+            .filter(item -> item.value().isPresent())
+            .map(PublishedItem::key)
+            .collect(Collectors.toUnmodifiableSet());
+    return merged
+        .andThen(next -> merge(next, deletions(next, revision, keys), source, changed(next), time))
+        .andThen(next -> Step.of(completeTo(next.withDeletionsKnownFrom(revision), revision)));
   }
 
   /**
-   * Returns the state after an update from another host. The copy of that host is complete up to
-   * its revision, so this copy is too, and the next watch continues from there.
+   * Returns the state after the changes of another host. They make the copy complete only if it was
+   * complete up to the revision after which they begin; a process that has just started may receive
+   * what its predecessor has requested.
    */
-  private static PublicationState afterUpdate(PublicationState state, long revision) {
-    PublicationState next = state.withPeerAheadSince(Optional.empty());
-    if (revision == 0) {
-      return next;
-    }
-    boolean awaitsPage = next.reads().listing().isPresent() && next.reads().startedAt().isEmpty();
+  private static PublicationState afterChanges(
+      PublicationState state, PublicationEvent.UpdateReceived update) {
+    return state.initialized() && update.afterRevision() <= state.revision()
+        ? completeTo(state, update.revision())
+        : state;
+  }
+
+  /** Returns the state whose copy is complete, so that the next watch continues from there. */
+  private static PublicationState completeTo(PublicationState state, long revision) {
+    boolean awaitsPage = state.reads().listing().isPresent() && state.reads().startedAt().isEmpty();
     return awaitsPage
-        ? next.withRevision(revision).withReads(reads -> reads.withListing(Optional.empty()))
-        : next.withRevision(revision);
+        ? state.withRevision(revision).withReads(reads -> reads.withListing(Optional.empty()))
+        : state.withRevision(revision);
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 
@@ -95,12 +97,16 @@
     return laggards().isEmpty();
   }
 
-  /** Returns the running hosts whose copy differs from the store. */
+  /** Returns the running hosts whose copy differs from the store, with the differing keys. */
   List<String> laggards() {
     List<String> laggards = new ArrayList<>();
     for (Host host : hosts.values()) {
-      if (host.running && !live(host.state).equals(store.items())) {
-        laggards.add(host.name);
+      Map<String, PublishedItem> live = live(host.state);
+      if (host.running && !live.equals(store.items())) {
+        Set<String> keys = new TreeSet<>(live.keySet());
+        keys.addAll(store.items().keySet());
+        keys.removeIf(key -> Objects.equals(live.get(key), store.items().get(key)));
+        laggards.add(host.name + " at " + host.state.revision() + " in " + keys);
       }
     }
     return laggards;
@@ -234,7 +240,8 @@
       } else if (effect instanceof PublicationEffect.SendUpdate update) {
         send(
             update.host(),
-            new PublicationEvent.UpdateReceived(name, update.items(), update.revision()));
+            new PublicationEvent.UpdateReceived(
+                name, update.items(), update.afterRevision(), update.revision()));
       } else if (effect instanceof PublicationEffect.RequestUpdate request) {
         send(request.host(), new PublicationEvent.UpdateRequested(name, request.afterRevision()));
       }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -106,6 +106,7 @@
             new PublicationEvent.UpdateReceived(
                 "peer",
                 List.of(item("servers/a", 5, "ready"), item("servers/c", 21, "ready")),
+                9,
                 15));
     assertEquals(
         List.of(
@@ -131,7 +132,7 @@
         List.of(),
         apply(
             new PublicationEvent.UpdateReceived(
-                "peer", List.of(item("servers/a", 5, "ready")), 10)));
+                "peer", List.of(item("servers/a", 5, "ready")), 4, 10)));
   }
 
   @Test
@@ -140,7 +141,7 @@
     list(9, item("a", 8, "new"));
     assertEquals(
         List.of(),
-        apply(new PublicationEvent.UpdateReceived("peer", List.of(item("a", 7, "old")), 7)));
+        apply(new PublicationEvent.UpdateReceived("peer", List.of(item("a", 7, "old")), 6, 7)));
     assertEquals(9, state.revision());
   }
 
@@ -227,4 +228,63 @@
     afterTick(Duration.ofSeconds(22));
     assertEquals(List.of(), apply(new PublicationEvent.ReadFailed(replaced, "timeout")));
   }
+
+  @Test
+  @DisplayName("sends its whole copy to a host that may have missed deletions before its listing")
+  void sendsWholeCopy() {
+    list(20, item("servers/b", 12, "ready"));
+    assertEquals(
+        List.of(
+            new PublicationEffect.SendUpdate(
+                "peer", List.of(item("servers/b", 12, "ready")), 0, 20)),
+        apply(new PublicationEvent.UpdateRequested("peer", 19)));
+    assertEquals(
+        List.of(new PublicationEffect.SendUpdate("peer", List.of(), 20, 20)),
+        apply(new PublicationEvent.UpdateRequested("peer", 20)));
+  }
+
+  @Test
+  @DisplayName("deletes what the whole copy of another host lacks")
+  void deletesWhatWholeCopyLacks() {
+    list(10, item("servers/a", 5, "ready"), item("servers/b", 6, "ready"));
+    List<PublicationEffect> effects =
+        apply(
+            new PublicationEvent.UpdateReceived(
+                "peer", List.of(item("servers/b", 6, "ready")), 0, 20));
+    assertEquals(
+        List.of(
+            new PublicationEffect.Changed(
+                List.of(deletion("servers/a", 20)), "peer=peer", Duration.ZERO)),
+        effects);
+  }
+
+  @Test
+  @DisplayName("deletes nothing for the older whole copy of another host")
+  void keepsItemsNewerThanWholeCopy() {
+    list(10, item("servers/a", 5, "ready"));
+    assertEquals(List.of(), apply(new PublicationEvent.UpdateReceived("peer", List.of(), 0, 8)));
+  }
+
+  @Test
+  @DisplayName("takes back from a listing what an update has wrongly deleted or left out")
+  void repairsCopyByListing() {
+    list(10, item("servers/a", 5, "ready"));
+    apply(new PublicationEvent.UpdateReceived("peer", List.of(), 0, 20));
+    apply(new PublicationEvent.HistoryDropped(state.reads().readNumber()));
+    List<PublishedItem> listed =
+        List.of(item("servers/a", 5, "ready"), item("servers/b", 15, "ready"));
+    List<PublicationEffect> effects =
+        apply(new PublicationEvent.PageRead(state.reads().readNumber(), listed, false, 30));
+    assertTrue(effects.contains(new PublicationEffect.Changed(listed, "listing", Duration.ZERO)));
+  }
+
+  @Test
+  @DisplayName("is not complete by changes that begin after its revision")
+  void ignoresRevisionOfLaterChanges() {
+    apply(new PublicationEvent.UpdateReceived("peer", List.of(item("servers/a", 51, "x")), 50, 52));
+    assertEquals(0, state.revision());
+    list(40, item("servers/b", 30, "x"));
+    apply(new PublicationEvent.UpdateReceived("peer", List.of(item("servers/a", 51, "x")), 50, 52));
+    assertEquals(40, state.revision());
+  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
@@ -47,7 +47,8 @@
           new PublicationEvent.UpdateRequested(request.endpoint(), request.afterRevision()));
     } else if (message instanceof PublicationUpdate update) {
       publication.offer(
-          new PublicationEvent.UpdateReceived(host, update.items(), update.revision()));
+          new PublicationEvent.UpdateReceived(
+              host, update.items(), update.afterRevision(), update.revision()));
     }
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -73,7 +73,9 @@
     } else if (effect instanceof PublicationEffect.Changed changed) {
       distributeChanges(changed);
     } else if (effect instanceof PublicationEffect.SendUpdate update) {
-      peers.send(update.host(), new PublicationUpdate(update.items(), update.revision()));
+      peers.send(
+          update.host(),
+          new PublicationUpdate(update.items(), update.afterRevision(), update.revision()));
     } else if (effect instanceof PublicationEffect.RequestUpdate request) {
       peers.send(request.host(), new PublicationUpdateRequest(self, request.afterRevision()));
     } else if (effect instanceof PublicationEffect.Ignored ignored) {
