--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptResult.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptResult.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.dispatch;
 
+import java.util.Optional;
 import org.parsleyhead.core.api.Preconditions;
 
 /**
@@ -11,6 +12,8 @@
  * @param status the HTTP status of the response; 0 if there was none
  * @param responseStarted whether a part of the response was written to the caller
  * @param responseBuffered whether a whole response of the instance is buffered and can be delivered
+ * @param lostAt how much of the response had been received when the connection was lost; empty if
+ *     the attempt ended in another way
  * @param reason the observed reason, for the log
  */
 public record AttemptResult(
@@ -18,11 +21,13 @@
     int status,
     boolean responseStarted,
     boolean responseBuffered,
+    Optional<ResponseStage> lostAt,
     String reason) {
 
   /** Validates the components. */
   public AttemptResult {
     Preconditions.requireNonNull(outcome, "outcome");
+    Preconditions.requireNonNull(lostAt, "lostAt");
     Preconditions.requireNonNull(reason, "reason");
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -167,7 +167,8 @@
         new DispatchEvent.AttemptEnded(
             send.request().key(),
             send.attempt(),
-            new AttemptResult(outcome, buffered ? 500 : 0, started, buffered, "test")));
+            new AttemptResult(
+                outcome, buffered ? 500 : 0, started, buffered, Optional.empty(), "test")));
   }
 
   static Optional<ModelWork> work(AdapterKey adapter) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FailureIsolationTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FailureIsolationTests.java
@@ -53,7 +53,8 @@
             new DispatchEvent.AttemptEnded(
                 send.request().key(),
                 1,
-                new AttemptResult(AttemptOutcome.FAILED, 500, false, true, "test")));
+                new AttemptResult(
+                    AttemptOutcome.FAILED, 500, false, true, Optional.empty(), "test")));
     only(step.effects(), DispatchEffect.CancelAttempt.class);
     DispatchRefusal refusal = only(step.effects(), DispatchEffect.Refuse.class).refusal();
     assertEquals(DispatchRefusal.Code.INTERNAL_ERROR, refusal.code());
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeCallers.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeCallers.java
@@ -139,7 +139,8 @@
             new DispatchEvent.AttemptEnded(
                 send.request().key(),
                 send.attempt(),
-                new AttemptResult(AttemptOutcome.COMPLETED, 200, true, false, "test"))));
+                new AttemptResult(
+                    AttemptOutcome.COMPLETED, 200, true, false, Optional.empty(), "test"))));
   }
 
   private void refused(Call call, Optional<Duration> retryAfter) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -10,6 +10,7 @@
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
+import org.parsleyhead.core.dispatch.ModelWork;
 import org.parsleyhead.core.fleet.FleetEvent;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.callers.CallerListener;
@@ -155,6 +156,8 @@
         send.instance().identifier(),
         "time_left_ms",
         send.timeLeft().toMillis(),
+        "parts",
+        send.request().work().map(ModelWork::sharedPartNames).orElse(""),
         "inputs",
         send.inputs());
     metrics.requestSent(send.attempt());
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -14,11 +14,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ResponseStage;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.api.ResponseHead;
 import org.parsleyhead.gateway.callers.Exchange;
@@ -182,13 +184,13 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     connectionFailed = true;
-    endBroken("connection: " + cause.getClass().getSimpleName());
+    endLost("connection: " + cause.getClass().getSimpleName());
     context.close();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    endBroken("connection_closed");
+    endLost("connection_closed");
   }
 
   private void readHead(HttpResponse head) {
@@ -324,6 +326,17 @@
   }
 
   private void endBroken(String reason) {
+    breakOff(Optional.empty(), reason);
+  }
+
+  /** Ends the attempt because its connection is lost. */
+  private void endLost(String reason) {
+    ResponseStage received = response == null ? ResponseStage.NONE : ResponseStage.HEAD;
+    boolean content = streamStarted || bufferedBody.size() > 0;
+    breakOff(Optional.of(content ? ResponseStage.CONTENT : received), reason);
+  }
+
+  private void breakOff(Optional<ResponseStage> lostAt, String reason) {
     reusable = false;
     end(
         new AttemptResult(
@@ -331,6 +344,7 @@
             response == null ? 0 : response.status().code(),
             streamStarted || exchange.responseStarted(),
             false,
+            lostAt,
             reason));
     if (channel != null) {
       channel.close();
@@ -343,6 +357,7 @@
         response.status().code(),
         streamStarted || exchange.responseStarted(),
         outcome != AttemptOutcome.COMPLETED,
+        Optional.empty(),
         reason);
   }
 
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -18,6 +18,7 @@
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ResponseStage;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.callers.Exchange;
@@ -125,6 +126,8 @@
             result.outcome(),
             "status",
             result.status(),
+            "lost_at",
+            result.lostAt().map(ResponseStage::name).orElse("-"),
             "reason",
             result.reason());
       }
@@ -145,6 +148,6 @@
 
   /** Returns the result of an attempt that wrote nothing of the request. */
   static AttemptResult notSent(String reason) {
-    return new AttemptResult(AttemptOutcome.NOT_SENT, 0, false, false, reason);
+    return new AttemptResult(AttemptOutcome.NOT_SENT, 0, false, false, Optional.empty(), reason);
   }
 }
