Requests with a part or adapter on which servers end are no longer sent

What callers saw: 26 servers of 13 places ended one after the other within 22 s, each with 20 to 30 streams; half of all requests were served. Cause: a part of some prompts ends each server that begins to answer. Nothing told such a loss from any other, so the request was repeated elsewhere and others with the part were sent on. Evidence: 27 losses after a head and before an event, all with one part that never began in 45 sends. Change: core.quarantine blames the traits that lost requests have in common, acquits what is answered, and refuses what is condemned; hosts tell each other at once; unanswered sends are taken back. Operators list and lift restrictions.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.dispatch.InstanceLoad;
 import org.parsleyhead.core.fleet.Heartbeat;
 import org.parsleyhead.core.fleet.HeartbeatAnswer;
@@ -17,9 +19,12 @@
 import org.parsleyhead.core.fleet.LoadRequest;
 import org.parsleyhead.core.fleet.PublicationUpdate;
 import org.parsleyhead.core.fleet.PublicationUpdateRequest;
+import org.parsleyhead.core.fleet.QuarantineReport;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.publication.PublishedItem;
+import org.parsleyhead.core.quarantine.Trait;
+import org.parsleyhead.core.quarantine.TraitReport;
 
 /**
  * The message types for gateway hosts, which operate without a published host list, codes 102 to
@@ -63,7 +68,15 @@
               108,
               PublicationUpdate.class,
               FleetMessageTypes::writeUpdate,
-              FleetMessageTypes::readUpdate));
+              FleetMessageTypes::readUpdate),
+          new MessageType<>(
+              109,
+              QuarantineReport.class,
+              FleetMessageTypes::writeQuarantine,
+              FleetMessageTypes::readQuarantine));
+
+  /** Stands for the age of what is not known. */
+  private static final long UNKNOWN_AGE = -1;
 
   private FleetMessageTypes() {}
 
@@ -217,6 +230,50 @@
     return new PublicationUpdate(items, afterRevision, revision);
   }
 
+  private static void writeQuarantine(QuarantineReport message, MessagePacker packer)
+      throws IOException {
+    packer.packArrayHeader(message.reports().size());
+    for (TraitReport report : message.reports()) {
+      packer.packString(report.trait().kind().label()).packLong(report.trait().identity());
+      packer.packLong(report.answeredAgeMilliseconds().orElse(UNKNOWN_AGE));
+      packer.packArrayHeader(report.losses().size());
+      for (TraitReport.ReportedLoss loss : report.losses()) {
+        packer.packLong(loss.serverRun()).packBoolean(loss.answerBegun());
+        packer.packLong(loss.ageMilliseconds());
+      }
+    }
+  }
+
+  private static QuarantineReport readQuarantine(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackArrayHeader();
+    List<TraitReport> reports = new ArrayList<>();
+    for (int index = 0; index < size; index++) {
+      Trait trait = new Trait(readTraitKind(unpacker.unpackString()), unpacker.unpackLong());
+      long answeredAge = unpacker.unpackLong();
+      int losses = unpacker.unpackArrayHeader();
+      List<TraitReport.ReportedLoss> reported = new ArrayList<>();
+      for (int loss = 0; loss < losses; loss++) {
+        reported.add(
+            new TraitReport.ReportedLoss(
+                unpacker.unpackLong(), unpacker.unpackBoolean(), unpacker.unpackLong()));
+      }
+      reports.add(
+          new TraitReport(
+              trait,
+              answeredAge == UNKNOWN_AGE ? Optional.empty() : Optional.of(answeredAge),
+              reported));
+    }
+    return new QuarantineReport(reports);
+  }
+
+  private static Trait.Kind readTraitKind(String label) {
+    return Arrays.stream(Trait.Kind.values())
+        .filter(kind -> kind.label().equals(label))
+        .findFirst()
+        .orElseThrow(
+            () -> new CodecException(CodecException.MALFORMED, "unknown kind of trait: " + label));
+  }
+
   private static void writeReport(AdapterReport report, MessagePacker packer) throws IOException {
     packer
         .packString(report.instance())
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -22,9 +22,12 @@
 import org.parsleyhead.core.fleet.LoadRequest;
 import org.parsleyhead.core.fleet.PublicationUpdate;
 import org.parsleyhead.core.fleet.PublicationUpdateRequest;
+import org.parsleyhead.core.fleet.QuarantineReport;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.publication.PublishedItem;
+import org.parsleyhead.core.quarantine.Trait;
+import org.parsleyhead.core.quarantine.TraitReport;
 
 @DisplayName("The fleet message types")
 class FleetMessageTypesTests {
@@ -62,7 +65,14 @@
                 new PublishedItem("servers/a", 4, Optional.of("{}")),
                 new PublishedItem("servers/b", 5, Optional.empty())),
             3,
-            5));
+            5),
+        new QuarantineReport(
+            List.of(
+                new TraitReport(
+                    new Trait(Trait.Kind.PROMPT_PART, -7),
+                    Optional.of(12L),
+                    List.of(new TraitReport.ReportedLoss(-3, true, 40))),
+                new TraitReport(new Trait(Trait.Kind.ADAPTER, 8), Optional.empty(), List.of()))));
   }
 
   @ParameterizedTest
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Assignment.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Assignment.java
@@ -10,21 +10,27 @@
  * @param phase the current phase
  * @param instance the identifier of the chosen instance; empty while the request waits
  * @param addedLoad the load that the request adds to its instance
+ * @param answering whether the instance has begun to answer
  */
-record Assignment(Phase phase, Optional<String> instance, InstanceLoad addedLoad) {
+record Assignment(
+    Phase phase, Optional<String> instance, InstanceLoad addedLoad, boolean answering) {
 
   static final Assignment WAITING =
-      new Assignment(Phase.WAITING, Optional.empty(), InstanceLoad.NONE);
+      new Assignment(Phase.WAITING, Optional.empty(), InstanceLoad.NONE, false);
 
   static Assignment loading(String instance) {
-    return new Assignment(Phase.LOADING, Optional.of(instance), InstanceLoad.NONE);
+    return new Assignment(Phase.LOADING, Optional.of(instance), InstanceLoad.NONE, false);
   }
 
   static Assignment sent(String instance, InstanceLoad addedLoad) {
-    return new Assignment(Phase.SENT, Optional.of(instance), addedLoad);
+    return new Assignment(Phase.SENT, Optional.of(instance), addedLoad, false);
   }
 
   Assignment withAddedLoad(InstanceLoad load) {
-    return new Assignment(phase, instance, load);
+    return new Assignment(phase, instance, load, answering);
+  }
+
+  Assignment withAnswering(InstanceLoad load) {
+    return new Assignment(phase, instance, load, true);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -13,16 +13,18 @@
 final class AttemptEventHandler {
 
   private final RequestDispatcher dispatcher;
+  private final QuarantineHandler quarantine;
 
-  AttemptEventHandler(RequestDispatcher dispatcher) {
+  AttemptEventHandler(RequestDispatcher dispatcher, QuarantineHandler quarantine) {
     this.dispatcher = dispatcher;
+    this.quarantine = quarantine;
   }
 
-  DispatchState onResponseStarted(
+  Step<DispatchState, DispatchEffect> onResponseStarted(
       DispatchState state, DispatchEvent.ResponseStarted started, MonotonicTime time) {
     ActiveRequest active = state.requests().get(started.requestKey());
     if (active == null || active.progress().attempts() != started.attempt()) {
-      return state;
+      return Step.of(state);
     }
     InstanceLoad processed =
         new InstanceLoad(0, active.progress().addedLoad().pendingPromptTokens(), 0);
@@ -33,9 +35,12 @@
                 active.progress().instance().orElseThrow(),
                 view ->
                     withLoadedAdapter(view.withOwnLoad(view.ownLoad().minus(processed)), active));
-    return state
-        .withInstances(instances)
-        .withRequest(active.with(active.progress().withResponseStarted()));
+    return quarantine.answered(
+        state
+            .withInstances(instances)
+            .withRequest(active.with(active.progress().withResponseStarted())),
+        active,
+        time);
   }
 
   /** Resumes a silent stream at another server if one can take it at once; else it stays. */
@@ -62,13 +67,20 @@
     DispatchState updated =
         withOutcome(RequestCompletion.withoutAddedLoad(state, active), active, result, time);
     if (result.outcome() == AttemptOutcome.COMPLETED) {
-      return Step.of(
-          updated.withoutRequest(active.key()),
-          new DispatchEffect.Finished(
-              active.request(), active.progress().attempts(), time.since(active.receivedAt())));
+      return quarantine
+          .answered(updated.withoutRequest(active.key()), active, time)
+          .andThen(
+              next ->
+                  Step.of(
+                      next,
+                      new DispatchEffect.Finished(
+                          active.request(),
+                          active.progress().attempts(),
+                          time.since(active.receivedAt()))));
     }
     ActiveRequest unassigned = active.with(progress(active, result));
-    return continueAfter(updated, unassigned, result, time);
+    return lost(updated.withoutRequest(active.key()), active, result, time)
+        .andThen(next -> continueAfter(next.withRequest(unassigned), unassigned, result, time));
   }
 
   Step<DispatchState, DispatchEffect> onCallerDisconnected(DispatchState state, long key) {
@@ -86,6 +98,16 @@
             active.request(), active.progress().attempts(), "caller_left"));
   }
 
+  private Step<DispatchState, DispatchEffect> lost(
+      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
+    boolean unanswered = !active.progress().assignment().answering();
+    return result
+        .lostAt()
+        .filter(stage -> unanswered && stage != ResponseStage.CONTENT)
+        .map(stage -> quarantine.lost(state, active, stage, time))
+        .orElse(Step.of(state));
+  }
+
   private Step<DispatchState, DispatchEffect> continueAfter(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -1,10 +1,15 @@
 package org.parsleyhead.core.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.quarantine.Audience;
+import org.parsleyhead.core.quarantine.Standing;
+import org.parsleyhead.core.quarantine.Trait;
+import org.parsleyhead.core.quarantine.TraitReport;
 
 /** The effects of {@link DispatchTransition}. Implementations are immutable and thread-safe. */
 public sealed interface DispatchEffect {
@@ -54,6 +59,25 @@
   record RequestLoad(String instance, AdapterKey adapter, String identifier)
       implements DispatchEffect {}
 
+  /**
+   * Tells other hosts the evidence about requests that may end their servers.
+   *
+   * @param reports the evidence
+   * @param audience the hosts that it is meant for
+   */
+  record TellQuarantine(List<TraitReport> reports, Audience audience) implements DispatchEffect {}
+
+  /**
+   * Reports what is now concluded about a trait.
+   *
+   * @param trait the trait
+   * @param standing its standing
+   * @param losses the number of server runs whose loss speaks against it
+   * @param source what the change follows from, for the log
+   */
+  record StandingChanged(Trait trait, Standing standing, int losses, String source)
+      implements DispatchEffect {}
+
   /** Schedules a wake event. */
   record WakeAfter(long requestKey, int wakeNumber, Duration delay) implements DispatchEffect {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -7,6 +7,8 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.quarantine.Trait;
+import org.parsleyhead.core.quarantine.TraitReport;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 
 /** The events of {@link DispatchTransition}. Implementations are immutable and thread-safe. */
@@ -90,6 +92,12 @@
   /** The operators declared a version of an adapter. */
   record VersionDeclared(AdapterKey adapter, long version) implements DispatchEvent {}
 
+  /** Another host told its evidence about requests that may end their servers. */
+  record QuarantineNews(String host, List<TraitReport> reports) implements DispatchEvent {}
+
+  /** Operators lift the restriction of a trait. */
+  record RestrictionLifted(Trait trait) implements DispatchEvent {}
+
   /** The shutdown of this process reached a stage that refuses some or all new requests. */
   record Stopping(StopStage stage) implements DispatchEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
@@ -47,6 +47,8 @@
     NO_ROOM(503),
     /** The adapter could not be loaded in time, and the request has not run. */
     ADAPTER_UNAVAILABLE(503),
+    /** The request has a trait on which servers have ended, and it has not run. */
+    QUARANTINED(503),
     /** The deadline passed before the request was sent. */
     EXPIRED_UNSENT(503),
     /** The deadline passed; the request may have run. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
@@ -4,6 +4,7 @@
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.overload.RetryAfterPolicy;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.quarantine.TrialRight;
 
 /**
  * The settings of the dispatch duty.
@@ -24,6 +25,7 @@
  * @param burstTolerance the units by which a burst may be exceeded before requests are refused
  * @param retryAfter decides when refused callers should return
  * @param waitPolicy decides whether requests wait for capacity that is expected later
+ * @param trialRight decides whether this host may try a request that may end its server
  */
 public record DispatchSettings(
     FailureDomainName failureDomain,
@@ -37,4 +39,5 @@
     double rateTolerance,
     double burstTolerance,
     RetryAfterPolicy retryAfter,
-    WaitPolicy waitPolicy) {}
+    WaitPolicy waitPolicy,
+    TrialRight trialRight) {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -7,6 +7,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.overload.StartupQueue;
+import org.parsleyhead.core.quarantine.Quarantine;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -26,6 +27,7 @@
  * @param versions the newest declared versions of the adapters
  * @param earliestTakeover the earliest instant at which instances without an owner can get one
  * @param startup the requests that wait until this host knows its catalogue and instances
+ * @param quarantine the evidence about requests that may end their servers
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -37,7 +39,8 @@
     StopStage stopStage,
     AdapterVersions versions,
     MonotonicTime earliestTakeover,
-    StartupQueue<ReceivedRequest> startup) {
+    StartupQueue<ReceivedRequest> startup,
+    Quarantine quarantine) {
 
   /** Returns the state of a process that started at an instant. */
   public static DispatchState initial(MonotonicTime time) {
@@ -51,7 +54,8 @@
         StopStage.RUNNING,
         AdapterVersions.NONE,
         MonotonicTime.ORIGIN,
-        StartupQueue.startedAt(time));
+        StartupQueue.startedAt(time),
+        Quarantine.EMPTY);
   }
 
   /** Returns the number of requests that are active or wait for the catalogue. */
@@ -106,7 +110,8 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withInstances(InstanceTable next) {
@@ -120,7 +125,8 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -146,7 +152,8 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -164,7 +171,8 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withVersions(AdapterVersions next) {
@@ -178,13 +186,23 @@
         stopStage,
         next,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withEarliestTakeover(MonotonicTime time) {
     return new DispatchState(
-        catalogue, instances, requests, buckets, budgets, peers, stopStage, versions, time,
-        startup);
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        time,
+        startup,
+        quarantine);
   }
 
   DispatchState withPeers(PeerTable next) {
@@ -198,7 +216,8 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   DispatchState withStopStage(StopStage stage) {
@@ -212,7 +231,8 @@
         stage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -233,6 +253,22 @@
         stopStage,
         versions,
         earliestTakeover,
+        next,
+        quarantine);
+  }
+
+  DispatchState withQuarantine(Quarantine next) {
+    return new DispatchState(
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stopStage,
+        versions,
+        earliestTakeover,
+        startup,
         next);
   }
 
@@ -247,6 +283,7 @@
         stopStage,
         versions,
         earliestTakeover,
-        startup);
+        startup,
+        quarantine);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -33,6 +33,7 @@
   private final DispatchSettings settings;
   private final Admission admission;
   private final RequestDispatcher dispatcher;
+  private final QuarantineHandler quarantine;
   private final AttemptEventHandler attemptEvents;
 
   /** Creates the transition. */
@@ -40,7 +41,8 @@
     this.settings = Preconditions.requireNonNull(settings, "settings");
     this.dispatcher = new RequestDispatcher(settings, new LeastExpectedTime(settings));
     this.admission = new Admission(settings, dispatcher);
-    this.attemptEvents = new AttemptEventHandler(dispatcher);
+    this.quarantine = new QuarantineHandler(dispatcher);
+    this.attemptEvents = new AttemptEventHandler(dispatcher, quarantine);
   }
 
   @Override
@@ -50,7 +52,7 @@
       return admission.receive(state, received.request(), time);
     }
     if (event instanceof DispatchEvent.ResponseStarted started) {
-      return Step.of(attemptEvents.onResponseStarted(state, started, time));
+      return attemptEvents.onResponseStarted(state, started, time);
     }
     if (event instanceof DispatchEvent.StreamSilent silent) {
       return attemptEvents.onStreamSilent(state, silent, time);
@@ -90,6 +92,18 @@
     if (event instanceof DispatchEvent.LoadRefused refused) {
       return dispatcher.loads().onRefused(state, refused, time);
     }
+    if (event instanceof DispatchEvent.QuarantineNews news) {
+      return quarantine.newsReceived(state, news, time);
+    }
+    if (event instanceof DispatchEvent.RestrictionLifted lifted) {
+      return quarantine.lifted(state, lifted.trait(), time);
+    }
+    if (event instanceof DispatchEvent.Tick) {
+      return quarantine.onTick(removeExpired(state, time), time);
+    }
+    if (event instanceof DispatchEvent.LiveHostsChanged changed) {
+      return quarantine.onHostsChanged(liveHostsChanged(state, changed), time);
+    }
     return Step.of(applyUpdate(state, event, time));
   }
 
@@ -107,15 +121,12 @@
     if (event instanceof DispatchEvent.PeerReported reported) {
       return peerReported(state, reported, time);
     }
-    if (event instanceof DispatchEvent.LiveHostsChanged changed) {
-      return liveHostsChanged(state, changed);
-    }
     if (event instanceof DispatchEvent.VersionDeclared declared) {
       return versionDeclared(state, declared);
     }
     return event instanceof DispatchEvent.Stopping stopping
         ? state.withStopStage(stopping.stage())
-        : removeExpired(state, time);
+        : state;
   }
 
   private static DispatchState catalogueChanged(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PeerTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PeerTable.java
@@ -11,11 +11,13 @@
  * <p>Immutable and thread-safe.
  *
  * @param hostCount the number of known hosts, including this one
+ * @param liveHosts the hosts that are alive, including this one; empty before any is known
  * @param loads the load at each instance, by source name and instance
  */
-record PeerTable(int hostCount, PMap<String, Map<String, InstanceLoad>> loads) {
+record PeerTable(
+    int hostCount, Set<String> liveHosts, PMap<String, Map<String, InstanceLoad>> loads) {
 
-  static final PeerTable EMPTY = new PeerTable(1, HashTreePMap.empty());
+  static final PeerTable EMPTY = new PeerTable(1, Set.of(), HashTreePMap.empty());
 
   /** Returns the total load of all other hosts at an instance. */
   InstanceLoad loadAt(String instance) {
@@ -38,7 +40,7 @@
         kept = kept.minus(known);
       }
     }
-    return new PeerTable(hostCount, kept.plus(source, Map.copyOf(reported)));
+    return new PeerTable(hostCount, liveHosts, kept.plus(source, Map.copyOf(reported)));
   }
 
   PeerTable withLiveHosts(int hosts, Set<String> live) {
@@ -48,6 +50,6 @@
         kept = kept.minus(host);
       }
     }
-    return new PeerTable(hosts, kept);
+    return new PeerTable(hosts, live, kept);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -96,7 +96,7 @@
   Progress withResponseStarted() {
     InstanceLoad unread = new InstanceLoad(0, addedLoad().pendingPromptTokens(), 0);
     return new Progress(
-        assignment.withAddedLoad(addedLoad().minus(unread)),
+        assignment.withAnswering(addedLoad().minus(unread)),
         history,
         true,
         ownerExpectedAt,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -4,6 +4,7 @@
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.quarantine.Verdict;
 import org.parsleyhead.core.serving.AccountLimits;
 
 /**
@@ -29,6 +30,26 @@
       DispatchRefusal.Code code,
       Duration retryAfter,
       MonotonicTime time) {
+    return end(state, active, code, retryAfter, inputs(active, time));
+  }
+
+  /** Refuses a request because of a trait, and logs which one. */
+  static Step<DispatchState, DispatchEffect> refuse(
+      DispatchState state, ActiveRequest active, Verdict verdict, MonotonicTime time) {
+    return end(
+        state,
+        active,
+        DispatchRefusal.Code.QUARANTINED,
+        verdict.retryAfter(),
+        verdict.inputs() + " " + inputs(active, time));
+  }
+
+  private static Step<DispatchState, DispatchEffect> end(
+      DispatchState state,
+      ActiveRequest active,
+      DispatchRefusal.Code code,
+      Duration retryAfter,
+      String inputs) {
     boolean mayHaveRun = active.progress().possibleRuns() > 0;
     DispatchState next = release(state, active, !mayHaveRun);
     if (active.progress().responseStarted()) {
@@ -41,8 +62,7 @@
                     ? code
                     : DispatchRefusal.Code.UPSTREAM_FAILED)
             : DispatchRefusal.withRetryAfter(code, retryAfter);
-    return Step.of(
-        next, new DispatchEffect.Refuse(active.request(), refusal, inputs(active, time)));
+    return Step.of(next, new DispatchEffect.Refuse(active.request(), refusal, inputs));
   }
 
   /**
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.quarantine.Verdict;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.ServiceDefinition;
@@ -48,6 +49,36 @@
     if (retry && !mayRetry(state, active, time)) {
       return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
     }
+    Verdict verdict = verdict(state, active, time);
+    return switch (verdict.decision()) {
+      case SEND -> place(state, active, time);
+      case SEND_AS_TRIAL -> placeAsTrial(state, active, verdict, time);
+      case REFUSE -> RequestCompletion.refuse(state, active, verdict, time);
+    };
+  }
+
+  private Verdict verdict(DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return state
+        .quarantine()
+        .verdict(
+            QuarantineHandler.traits(active.request()),
+            settings.trialRight(),
+            state.peers().liveHosts(),
+            time);
+  }
+
+  private Step<DispatchState, DispatchEffect> placeAsTrial(
+      DispatchState state, ActiveRequest active, Verdict verdict, MonotonicTime time) {
+    Step<DispatchState, DispatchEffect> placed = place(state, active, time);
+    boolean sent = placed.effects().stream().anyMatch(DispatchEffect.Send.class::isInstance);
+    return sent
+        ? placed.andThen(
+            next -> Step.of(next.withQuarantine(next.quarantine().withTrial(verdict, time))))
+        : placed;
+  }
+
+  private Step<DispatchState, DispatchEffect> place(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
     Optional<ServiceDefinition> service = state.catalogue().service(active.service());
     Optional<Candidate> chosen =
         choice.choose(active, service, candidates(state, active, time), time);
@@ -232,7 +263,8 @@
    */
   private Optional<Step<DispatchState, DispatchEffect>> redispatchSilent(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
-    if (!mayRetry(state, active, time)) {
+    if (!mayRetry(state, active, time)
+        || verdict(state, active, time).decision() != Verdict.Decision.SEND) {
       return Optional.empty();
     }
     DispatchState released = RequestCompletion.withoutAddedLoad(state, active);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
@@ -7,6 +7,8 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.quarantine.Audience;
+import org.parsleyhead.core.quarantine.TraitReport;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 
 /** The events of {@link FleetTransition}. Implementations are immutable and thread-safe. */
@@ -57,6 +59,14 @@
   /** The operators declared a version of an adapter. */
   record VersionDeclared(AdapterKey adapter, long version) implements FleetEvent {}
 
+  /**
+   * This host has evidence about requests that may end their servers.
+   *
+   * @param reports the evidence
+   * @param audience the hosts that it is meant for
+   */
+  record QuarantineChanged(List<TraitReport> reports, Audience audience) implements FleetEvent {}
+
   /** This process is about to stop. */
   record Leaving() implements FleetEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.api.Transition;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.quarantine.Audience;
 
 /**
  * Decides how this host takes part in the fleet: membership, leases, heartbeats and orders to the
@@ -67,6 +69,9 @@
     if (event instanceof FleetEvent.Tick tick) {
       return tick(state, tick, time);
     }
+    if (event instanceof FleetEvent.QuarantineChanged changed) {
+      return quarantineChanged(state, changed);
+    }
     if (event instanceof FleetEvent.Leaving) {
       return orders.releaseAll(state.withLocal(state.local().asLeaving()));
     }
@@ -259,6 +264,40 @@
     return Step.of(state, effect);
   }
 
+  /** Tells all hosts; in a large fleet only the hubs, which tell it on. */
+  private Step<FleetState, FleetEffect> quarantineChanged(
+      FleetState state, FleetEvent.QuarantineChanged changed) {
+    Audience audience = changed.audience();
+    boolean hub = state.hubs().contains(settings.self());
+    if (audience.relayed() && !hub) {
+      return Step.of(state);
+    }
+    Collection<String> allReached =
+        audience.relayed()
+            ? relayReceivers(state)
+            : hub || !state.large() ? state.liveHosts() : state.hubs();
+    Collection<String> receivers =
+        audience.host().<Collection<String>>map(List::of).orElse(allReached);
+    QuarantineReport report = new QuarantineReport(changed.reports());
+    List<FleetEffect> effects =
+        receivers.stream()
+            .filter(receiver -> !receiver.equals(settings.self()))
+            .<FleetEffect>map(receiver -> new FleetEffect.SendMessage(receiver, report))
+            .toList();
+    return new Step<>(state, effects);
+  }
+
+  /** Returns the other hubs, and the hosts that get totals from this one. */
+  private List<String> relayReceivers(FleetState state) {
+    List<String> hubs = state.hubs();
+    return state.liveHosts().stream()
+        .filter(
+            host ->
+                hubs.contains(host)
+                    || Hubs.assignedHub(host, hubs).equals(Optional.of(settings.self())))
+        .toList();
+  }
+
   private static FleetEffect loadAnswered(LoadAnswer answer) {
     return answer.ordered()
         ? new FleetEffect.LoadOrdered(
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -17,6 +17,7 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.quarantine.TrialRight;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.RequestKind;
@@ -47,7 +48,8 @@
           0.1,
           0,
           new SpreadRetryAfter(),
-          WaitPolicy.upToFraction(0.7));
+          WaitPolicy.upToFraction(0.7),
+          TrialRight.inTurn("self"));
 
   private final DispatchTransition transition = new DispatchTransition(SETTINGS);
   private MonotonicTime now = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
@@ -171,6 +173,16 @@
                 outcome, buffered ? 500 : 0, started, buffered, Optional.empty(), "test")));
   }
 
+  /** Ends an attempt by the loss of its connection. */
+  List<DispatchEffect> lose(DispatchEffect.Send send, ResponseStage stage) {
+    return apply(
+        new DispatchEvent.AttemptEnded(
+            send.request().key(),
+            send.attempt(),
+            new AttemptResult(
+                AttemptOutcome.BROKEN, 0, false, false, Optional.of(stage), "connection_closed")));
+  }
+
   static Optional<ModelWork> work(AdapterKey adapter) {
     return Optional.of(new ModelWork(adapter, 100, 50, List.of(new PromptPart(7, 100))));
   }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryBudgetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryBudgetTests.java
@@ -15,6 +15,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.quarantine.TrialRight;
 
 @DisplayName("The retry budget")
 class RetryBudgetTests {
@@ -37,7 +38,8 @@
         0.1,
         0,
         new SpreadRetryAfter(),
-        WaitPolicy.upToFraction(0.7));
+        WaitPolicy.upToFraction(0.7),
+        TrialRight.inTurn("self"));
   }
 
   private static MonotonicTime at(double seconds) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -93,9 +93,31 @@
       }
       return;
     }
+    if (effect instanceof DispatchEffect.TellQuarantine tell) {
+      fleet.offer(new FleetEvent.QuarantineChanged(tell.reports(), tell.audience()));
+      return;
+    }
+    if (effect instanceof DispatchEffect.StandingChanged changed) {
+      standingChanged(changed);
+      return;
+    }
     eventLoop.execute(() -> executeEffect(effect));
   }
 
+  private void standingChanged(DispatchEffect.StandingChanged changed) {
+    LOG.warning(
+        "standing_changed",
+        "trait",
+        changed.trait().name(),
+        "standing",
+        changed.standing(),
+        "losses",
+        changed.losses(),
+        "heard_from",
+        changed.source());
+    metrics.standingChanged(changed.standing());
+  }
+
   private void executeEffect(DispatchEffect effect) {
     if (effect instanceof DispatchEffect.WakeAfter wake) {
       wakeAfter(wake);
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
+import org.parsleyhead.core.quarantine.Standing;
 import org.parsleyhead.runtime.duty.Ring;
 import org.parsleyhead.runtime.metrics.MetricName;
 import org.parsleyhead.runtime.metrics.Metrics;
@@ -24,6 +25,7 @@
   private static final MetricName ORDERS = MetricName.of("parsleyhead_engine_orders_total");
   private static final MetricName READS = MetricName.of("parsleyhead_publication_reads_total");
   private static final MetricName DUTY_FAILURES = MetricName.of("parsleyhead_duty_failures_total");
+  private static final MetricName STANDINGS = MetricName.of("parsleyhead_quarantine_changes_total");
   private static final MetricName ACTIVE = MetricName.of("parsleyhead_active_requests");
   private static final MetricName HOSTS = MetricName.of("parsleyhead_live_hosts");
   private static final MetricName CATALOGUE = MetricName.of("parsleyhead_catalogue_version");
@@ -79,6 +81,10 @@
     metrics.counter(READS.with("kind", kind)).inc();
   }
 
+  void standingChanged(Standing standing) {
+    metrics.counter(STANDINGS.with("standing", standing.name())).inc();
+  }
+
   void dutyFailed(String duty) {
     metrics.counter(DUTY_FAILURES.with("duty", duty)).inc();
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -34,6 +34,7 @@
 import org.parsleyhead.core.publication.PublicationSettings;
 import org.parsleyhead.core.publication.PublicationState;
 import org.parsleyhead.core.publication.PublicationTransition;
+import org.parsleyhead.core.quarantine.TrialRight;
 import org.parsleyhead.gateway.callers.CallerServer;
 import org.parsleyhead.gateway.peers.PeerSockets;
 import org.parsleyhead.gateway.upstreams.UpstreamClient;
@@ -129,7 +130,7 @@
             new Sender(new HostName(self), new Incarnation(incarnation)),
             new PeerMessageCodec(FleetMessageTypes.TYPES),
             eventLoops,
-            new PeerReceiver(fleetRing, publicationRing));
+            new PeerReceiver(fleetRing, publicationRing, dispatchRing));
     EventLoop eventLoop = eventLoops.next();
     DispatchEventSender dispatchEvents = new DispatchEventSender(dispatchRing, eventLoop);
     UpstreamClient upstreams =
@@ -234,18 +235,27 @@
   }
 
   private void open() {
+    final QuarantinePages quarantinePages =
+        new QuarantinePages(
+            () -> dispatch.state().quarantine().restricted(clock.now()),
+            trait -> dispatch.ring().offer(new DispatchEvent.RestrictionLifted(trait)));
     publication.start();
     dispatch.start();
     fleet.start();
     peers.open(settings.peersEndpoint());
     callers.open(settings.callersEndpoint());
-    StatusPageServer.open(settings.readinessEndpoint(), eventLoops, this::readiness);
+    StatusPageServer.open(settings.readinessEndpoint(), eventLoops, (method, path) -> readiness());
     settings
         .metricsEndpoint()
         .ifPresent(
             endpoint ->
                 StatusPageServer.open(
-                    endpoint, eventLoops, () -> new StatusPageServer.Page(true, metrics.render())));
+                    endpoint,
+                    eventLoops,
+                    (method, path) ->
+                        quarantinePages
+                            .page(method, path)
+                            .orElseGet(() -> new StatusPageServer.Page(true, metrics.render()))));
     LOG.info(
         "started",
         "host",
@@ -304,7 +314,8 @@
         settings.allowanceTolerance(),
         settings.allowanceSlack(),
         new SpreadRetryAfter(),
-        WaitPolicy.upToFraction(MAXIMUM_WAIT_FRACTION));
+        WaitPolicy.upToFraction(MAXIMUM_WAIT_FRACTION),
+        TrialRight.inTurn(settings.peersEndpoint().toString()));
   }
 
   private static FleetSettings fleetSettings(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import org.parsleyhead.codec.peer.Envelope;
 import org.parsleyhead.core.api.PeerMessage;
+import org.parsleyhead.core.dispatch.DispatchEvent;
 import org.parsleyhead.core.fleet.FleetEvent;
 import org.parsleyhead.core.fleet.Heartbeat;
 import org.parsleyhead.core.fleet.HeartbeatAnswer;
@@ -10,6 +11,7 @@
 import org.parsleyhead.core.fleet.LoadRequest;
 import org.parsleyhead.core.fleet.PublicationUpdate;
 import org.parsleyhead.core.fleet.PublicationUpdateRequest;
+import org.parsleyhead.core.fleet.QuarantineReport;
 import org.parsleyhead.core.publication.PublicationEvent;
 import org.parsleyhead.runtime.duty.Ring;
 
@@ -23,10 +25,13 @@
 
   private final Ring<FleetEvent> fleet;
   private final Ring<PublicationEvent> publication;
+  private final Ring<DispatchEvent> dispatch;
 
-  PeerReceiver(Ring<FleetEvent> fleet, Ring<PublicationEvent> publication) {
+  PeerReceiver(
+      Ring<FleetEvent> fleet, Ring<PublicationEvent> publication, Ring<DispatchEvent> dispatch) {
     this.fleet = fleet;
     this.publication = publication;
+    this.dispatch = dispatch;
   }
 
   @Override
@@ -45,6 +50,8 @@
     } else if (message instanceof PublicationUpdateRequest request) {
       publication.offer(
           new PublicationEvent.UpdateRequested(request.endpoint(), request.afterRevision()));
+    } else if (message instanceof QuarantineReport report) {
+      dispatch.offer(new DispatchEvent.QuarantineNews(host, report.reports()));
     } else if (message instanceof PublicationUpdate update) {
       publication.offer(
           new PublicationEvent.UpdateReceived(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/StatusPageServer.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/StatusPageServer.java
@@ -17,11 +17,10 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Supplier;
 import org.parsleyhead.core.api.Endpoint;
 
 /**
- * Serves one page to the load balancer or to operators, on the event loop of the host.
+ * Serves pages to the load balancer or to operators, on the event loop of the host.
  *
  * <p>Stateless and thread-safe.
  */
@@ -32,7 +31,7 @@
   private StatusPageServer() {}
 
   /** Opens a port at which each request is answered with the current page. */
-  static Channel open(Endpoint endpoint, EventLoopGroup eventLoops, Supplier<Page> page) {
+  static Channel open(Endpoint endpoint, EventLoopGroup eventLoops, Pages pages) {
     return new ServerBootstrap()
         .group(eventLoops)
         .channel(NioServerSocketChannel.class)
@@ -42,7 +41,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new PageHandler(page));
+                channel.pipeline().addLast(new HttpServerCodec(), new PageHandler(pages));
               }
             })
         .bind(endpoint.address(), endpoint.port())
@@ -50,6 +49,12 @@
         .channel();
   }
 
+  /** Returns the page for a request; called on the event loop, so it must not block. */
+  @FunctionalInterface
+  interface Pages {
+    Page page(String method, String path);
+  }
+
   /**
    * A page in plain text.
    *
@@ -61,15 +66,15 @@
   /** Answers each request with the current page. Confined to the event loop. */
   private static final class PageHandler extends SimpleChannelInboundHandler<HttpRequest> {
 
-    private final Supplier<Page> page;
+    private final Pages pages;
 
-    PageHandler(Supplier<Page> page) {
-      this.page = page;
+    PageHandler(Pages pages) {
+      this.pages = pages;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpRequest request) {
-      Page current = page.get();
+      Page current = pages.page(request.method().name(), request.uri());
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
