Servers are taken at their word: leaving, and wanting nothing for a time

A server that leaves says so in all its answers, and one that answers 503 may say for how long it wants nothing; neither was decoded. An unframed stream that ended without any event was delivered as complete, and one cut inside an event did not count as a lost connection. An unframed stream without an event is lost after its head.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
@@ -45,6 +46,16 @@
   /** The announcement of an instance was removed. */
   record InstanceRemoved(String identifier) implements DispatchEvent {}
 
+  /**
+   * An instance stated in an answer what it wants of this host.
+   *
+   * @param instance the instance, as it was announced when the request was sent
+   * @param leaving whether it is about to leave
+   * @param refusesFor how long it wants no further requests; empty if it does not say
+   */
+  record InstanceNotice(Instance instance, boolean leaving, Optional<Duration> refusesFor)
+      implements DispatchEvent {}
+
   /** The owner of an instance reported the models and adapters that the instance holds. */
   record AdaptersReported(AdapterReport report) implements DispatchEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -115,6 +115,12 @@
       return state.withInstances(
           state.instances().update(removed.identifier(), view -> view.withRemovedAt(time)));
     }
+    if (event instanceof DispatchEvent.InstanceNotice notice) {
+      return state.withInstances(
+          state
+              .instances()
+              .update(notice.instance().identifier(), view -> view.withNotice(notice, time)));
+    }
     if (event instanceof DispatchEvent.AdaptersReported reported) {
       return adaptersReported(state, reported.report(), time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
@@ -74,6 +74,24 @@
         owned);
   }
 
+  /** Returns this view after the instance has stated what it wants of this host. */
+  InstanceView withNotice(DispatchEvent.InstanceNotice notice, MonotonicTime time) {
+    if (!instance.sameRun(notice.instance())) {
+      return this;
+    }
+    InstanceView next =
+        notice
+            .refusesFor()
+            .map(duration -> withHealth(health.refusing(duration, time)))
+            .orElse(this);
+    return notice.leaving() ? next.withLeaving() : next;
+  }
+
+  private InstanceView withLeaving() {
+    return new InstanceView(
+        instance.asDraining(), removedAt, ownLoad, peerLoad, health, adapters, prefixCache, owned);
+  }
+
   InstanceView withRemovedAt(MonotonicTime time) {
     return new InstanceView(
         instance, Optional.of(time), ownLoad, peerLoad, health, adapters, prefixCache, owned);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -140,6 +141,9 @@
           || !holdsModel(active, view)) {
         continue;
       }
+      if (view.health().refuses(time)) {
+        continue;
+      }
       if (view.acceptsRequests()) {
         usable.add(view);
       } else if (!view.instance().draining() && withinRemovalGrace(view, time)) {
@@ -210,10 +214,31 @@
     }
     boolean starting =
         state.startup().open(time) && state.instances().ofService(active.service()).isEmpty();
-    return starting
-        ? RequestWakes.schedule(
-            state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY)
-        : refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time);
+    if (starting) {
+      return RequestWakes.schedule(
+          state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY);
+    }
+    return untilAccepted(state, active, time)
+        .map(delay -> awaitAcceptance(state, active, delay, time))
+        .orElseGet(() -> refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time));
+  }
+
+  /** Returns when the first instance accepts requests again; empty if none says so. */
+  private static Optional<Duration> untilAccepted(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return state.instances().ofService(active.service()).stream()
+        .filter(view -> view.acceptsRequests() && view.health().refuses(time))
+        .map(view -> view.health().refusesUntil().since(time))
+        .min(Comparator.naturalOrder());
+  }
+
+  private Step<DispatchState, DispatchEffect> awaitAcceptance(
+      DispatchState state, ActiveRequest active, Duration delay, MonotonicTime time) {
+    if (settings.waitPolicy().waits(delay, active.deadline().since(time))) {
+      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay);
+    }
+    Duration retryAfter = settings.retryAfter().retryAfter(delay, active.request().hash());
+    return RequestCompletion.fail(state, active, DispatchRefusal.Code.NO_ROOM, retryAfter, time);
   }
 
   private Step<DispatchState, DispatchEffect> onAttemptWake(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.gateway.api;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -11,6 +12,19 @@
  * @param notRun whether the instance states that it has not run the request
  * @param misdirected whether the instance is not the intended one, or lacks the adapter
  * @param stamped whether it carries the stamp of an instance
+ * @param leaving whether the instance states that it is about to leave
+ * @param refusesFor how long the instance wants no further requests; empty if it does not say
  */
 public record ResponseHead(
-    Optional<String> requestIdentifier, boolean notRun, boolean misdirected, boolean stamped) {}
+    Optional<String> requestIdentifier,
+    boolean notRun,
+    boolean misdirected,
+    boolean stamped,
+    boolean leaving,
+    Optional<Duration> refusesFor) {
+
+  /** Returns whether the instance says something about requests to come. */
+  public boolean hasNotice() {
+    return !misdirected && (leaving || refusesFor.isPresent());
+  }
+}
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -221,8 +221,16 @@
     UnansweredByteLimit.responseStarted(channel);
     response = head;
     responseHead = parsed;
-    boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    reusable &= HttpUtil.isKeepAlive(head) && framed;
+    if (parsed.hasNotice()) {
+      listener.accept(
+          new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
+    }
+    reusable &= HttpUtil.isKeepAlive(head) && framed(head);
+  }
+
+  /** Returns whether a response tells where its body ends; if not, its connection does. */
+  private static boolean framed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
   }
 
   private void readContent(HttpContent content) {
@@ -291,7 +299,7 @@
 
   private void responseComplete() {
     if (connectionFailed) {
-      endBroken("connection_reset");
+      endLost("connection_reset");
       return;
     }
     if (!Exchange.isSuccess(response.status())) {
@@ -305,7 +313,11 @@
       return;
     }
     if (events.pendingBytes() > 0) {
-      endBroken("event_cut_off");
+      endLost("event_cut_off");
+      return;
+    }
+    if (!streamStarted && !framed(response)) {
+      endLost("stream_without_event");
       return;
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.Optional;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
@@ -11,7 +12,10 @@
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.api.ResponseHead;
 
-/** A dialect with three headers: Id, Not-Run and Stamp. Stateless and thread-safe. */
+/**
+ * A dialect with the headers Id, Not-Run, Stamp, Leaving and Retry-After. Stateless and
+ * thread-safe.
+ */
 final class FakeHttpDialect implements HttpDialect {
 
   private static final String IDENTIFIER = "Id";
@@ -41,7 +45,11 @@
         Optional.ofNullable(headers.get(IDENTIFIER)),
         headers.contains("Not-Run"),
         false,
-        headers.contains("Stamp"));
+        headers.contains("Stamp"),
+        headers.contains("Leaving"),
+        Optional.ofNullable(headers.get("Retry-After"))
+            .map(Long::valueOf)
+            .map(Duration::ofSeconds));
   }
 
   @Override
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
@@ -10,8 +10,10 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -22,6 +24,7 @@
 import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ResponseStage;
 
 @DisplayName("The upstream client")
 @Timeout(60)
@@ -285,4 +288,75 @@
       }
     }
   }
+
+  @Nested
+  @DisplayName("with a response that ends with its connection")
+  class WithUnframedResponse {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nId: r\r\nStamp: s\r\n\r\n";
+
+    private AttemptResult resultOf(String path, String response) throws Exception {
+      try (FakeRawServer server =
+              new FakeRawServer(
+                  (identifier, output) -> {
+                    output.write(text(response));
+                    output.close();
+                  });
+          ForwardingHost host = new ForwardingHost(server.port());
+          Socket caller = host.request(path, "r")) {
+        AttemptResult result = host.nextEnd().result();
+        assertTrue(caller.isConnected());
+        return result;
+      }
+    }
+
+    @Test
+    @DisplayName("takes a stream of whole events as complete")
+    void completesStream() throws Exception {
+      AttemptResult result = resultOf("/stream", HEAD + "data: one\n\n");
+      assertEquals(AttemptOutcome.COMPLETED, result.outcome());
+    }
+
+    @Test
+    @DisplayName("takes a stream that ends inside an event as lost")
+    void losesCutStream() throws Exception {
+      AttemptResult result = resultOf("/stream", HEAD + "data: one\n\ndata: tw");
+      assertEquals(AttemptOutcome.BROKEN, result.outcome());
+      assertEquals(Optional.of(ResponseStage.CONTENT), result.lostAt());
+    }
+
+    @Test
+    @DisplayName("takes a stream without any event as lost after its head")
+    void losesEmptyStream() throws Exception {
+      AttemptResult result = resultOf("/stream", HEAD);
+      assertEquals(AttemptOutcome.BROKEN, result.outcome());
+      assertEquals(Optional.of(ResponseStage.HEAD), result.lostAt());
+    }
+
+    @Test
+    @DisplayName("takes a connection that closes without a response as lost before its head")
+    void losesResponse() throws Exception {
+      AttemptResult result = resultOf("/stream", "");
+      assertEquals(Optional.of(ResponseStage.NONE), result.lostAt());
+    }
+  }
+
+  @Test
+  @DisplayName("reports what a server states about requests to come, before the end of the attempt")
+  void reportsNotice() throws Exception {
+    String refusal =
+        "HTTP/1.1 503 Full\r\nId: r\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: 2\r\n"
+            + "Content-Length: 0\r\n\r\n";
+    try (FakeRawServer server =
+            new FakeRawServer((identifier, output) -> output.write(text(refusal)));
+        ForwardingHost host = new ForwardingHost(server.port());
+        Socket caller = host.request("/plain", "r")) {
+      DispatchEvent.InstanceNotice notice =
+          assertInstanceOf(DispatchEvent.InstanceNotice.class, host.nextEvent());
+      assertTrue(notice.leaving());
+      assertEquals(Optional.of(Duration.ofSeconds(2)), notice.refusesFor());
+      assertEquals(AttemptOutcome.NO_ROOM, host.nextEnd().result().outcome());
+      assertTrue(caller.isConnected());
+    }
+  }
 }
