A change of the configuration is not lost to a duty whose ring is full

Change: the sender that repeats events of active requests is used for these too. Result: EventSenderTests passes; with a single offer the second event would be gone (ring of one).

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -33,7 +33,7 @@
   private final EventLoop eventLoop;
   private final HttpDialect dialect;
   private final UpstreamClient upstreams;
-  private final DispatchEventSender dispatch;
+  private final EventSender<DispatchEvent> dispatch;
   private final Ring<FleetEvent> fleet;
   private final GatewayMetrics metrics;
   private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -42,7 +42,7 @@
       EventLoop eventLoop,
       HttpDialect dialect,
       UpstreamClient upstreams,
-      DispatchEventSender dispatch,
+      EventSender<DispatchEvent> dispatch,
       Ring<FleetEvent> fleet,
       GatewayMetrics metrics) {
     this.eventLoop = eventLoop;
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -132,7 +132,7 @@
             eventLoops,
             new PeerReceiver(fleetRing, publicationRing, dispatchRing));
     EventLoop eventLoop = eventLoops.next();
-    DispatchEventSender dispatchEvents = new DispatchEventSender(dispatchRing, eventLoop);
+    EventSender<DispatchEvent> dispatchEvents = new EventSender<>(dispatchRing, eventLoop);
     UpstreamClient upstreams =
         new UpstreamClient(platform.dialect(), dispatchEvents::send, eventLoops);
     DispatchEffectExecutor dispatchExecutor =
@@ -160,8 +160,8 @@
                 platform.decoder(),
                 peers,
                 publicationRing,
-                dispatchRing,
-                fleetRing,
+                dispatchEvents,
+                new EventSender<>(fleetRing, eventLoop),
                 metrics),
             PublicationEvent.Tick::new,
             PUBLICATION_TICK_INTERVAL,
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -33,8 +33,8 @@
   private final PublicationDecoder decoder;
   private final PeerSockets peers;
   private final Ring<PublicationEvent> publication;
-  private final Ring<DispatchEvent> dispatch;
-  private final Ring<FleetEvent> fleet;
+  private final EventSender<DispatchEvent> dispatch;
+  private final EventSender<FleetEvent> fleet;
   private final GatewayMetrics metrics;
   private final AnnouncementLog announcements = new AnnouncementLog(LOG);
 
@@ -44,8 +44,8 @@
       PublicationDecoder decoder,
       PeerSockets peers,
       Ring<PublicationEvent> publication,
-      Ring<DispatchEvent> dispatch,
-      Ring<FleetEvent> fleet,
+      EventSender<DispatchEvent> dispatch,
+      EventSender<FleetEvent> fleet,
       GatewayMetrics metrics) {
     this.self = self;
     this.source = source;
@@ -144,8 +144,8 @@
       }
     }
     if (!announced.isEmpty()) {
-      dispatch.offer(new DispatchEvent.InstancesAnnounced(announced));
-      fleet.offer(new FleetEvent.InstancesAnnounced(announced));
+      dispatch.send(new DispatchEvent.InstancesAnnounced(announced));
+      fleet.send(new FleetEvent.InstancesAnnounced(announced));
     }
   }
 
@@ -163,8 +163,8 @@
           itemSource,
           "silent_ms",
           changed.platformSilence().toMillis());
-      dispatch.offer(new DispatchEvent.CatalogueChanged(catalogue.catalogue()));
-      fleet.offer(new FleetEvent.CatalogueChanged(catalogue.catalogue()));
+      dispatch.send(new DispatchEvent.CatalogueChanged(catalogue.catalogue()));
+      fleet.send(new FleetEvent.CatalogueChanged(catalogue.catalogue()));
     } else if (decoded instanceof DecodedItem.Removal removal) {
       LOG.info(
           "instance_removed",
@@ -175,8 +175,8 @@
           "heard_from",
           itemSource);
       announcements.removed(removal.identifier());
-      dispatch.offer(new DispatchEvent.InstanceRemoved(removal.identifier()));
-      fleet.offer(new FleetEvent.InstanceRemoved(removal.identifier()));
+      dispatch.send(new DispatchEvent.InstanceRemoved(removal.identifier()));
+      fleet.send(new FleetEvent.InstanceRemoved(removal.identifier()));
     } else if (decoded instanceof DecodedItem.AdapterVersion version) {
       LOG.info(
           "adapter_version",
@@ -188,8 +188,8 @@
           item.revision(),
           "outcome",
           "older versions are no longer used");
-      dispatch.offer(new DispatchEvent.VersionDeclared(version.adapter(), version.version()));
-      fleet.offer(new FleetEvent.VersionDeclared(version.adapter(), version.version()));
+      dispatch.send(new DispatchEvent.VersionDeclared(version.adapter(), version.version()));
+      fleet.send(new FleetEvent.VersionDeclared(version.adapter(), version.version()));
     } else if (decoded instanceof DecodedItem.Ignored ignored) {
       LOG.warning(
           "item_ignored",
