--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +9,6 @@
 import java.util.Set;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
-import org.parsleyhead.codec.CodecException;
 import org.parsleyhead.core.dispatch.InstanceLoad;
 import org.parsleyhead.core.fleet.Heartbeat;
 import org.parsleyhead.core.fleet.HeartbeatAnswer;
@@ -23,8 +21,6 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.publication.PublishedItem;
-import org.parsleyhead.core.quarantine.Trait;
-import org.parsleyhead.core.quarantine.TraitReport;
 
 /**
  * The message types for gateway hosts, which operate without a published host list, codes 102 to
@@ -70,13 +66,7 @@
               FleetMessageTypes::writeUpdate,
               FleetMessageTypes::readUpdate),
           new MessageType<>(
-              109,
-              QuarantineReport.class,
-              FleetMessageTypes::writeQuarantine,
-              FleetMessageTypes::readQuarantine));
-
-  /** Stands for the age of what is not known. */
-  private static final long UNKNOWN_AGE = -1;
+              109, QuarantineReport.class, QuarantineEncoding::write, QuarantineEncoding::read));
 
   private FleetMessageTypes() {}
 
@@ -230,50 +220,6 @@
     return new PublicationUpdate(items, afterRevision, revision);
   }
 
-  private static void writeQuarantine(QuarantineReport message, MessagePacker packer)
-      throws IOException {
-    packer.packArrayHeader(message.reports().size());
-    for (TraitReport report : message.reports()) {
-      packer.packString(report.trait().kind().label()).packLong(report.trait().identity());
-      packer.packLong(report.answeredAgeMilliseconds().orElse(UNKNOWN_AGE));
-      packer.packArrayHeader(report.losses().size());
-      for (TraitReport.ReportedLoss loss : report.losses()) {
-        packer.packLong(loss.serverRun()).packBoolean(loss.answerBegun());
-        packer.packLong(loss.ageMilliseconds());
-      }
-    }
-  }
-
-  private static QuarantineReport readQuarantine(MessageUnpacker unpacker) throws IOException {
-    int size = unpacker.unpackArrayHeader();
-    List<TraitReport> reports = new ArrayList<>();
-    for (int index = 0; index < size; index++) {
-      Trait trait = new Trait(readTraitKind(unpacker.unpackString()), unpacker.unpackLong());
-      long answeredAge = unpacker.unpackLong();
-      int losses = unpacker.unpackArrayHeader();
-      List<TraitReport.ReportedLoss> reported = new ArrayList<>();
-      for (int loss = 0; loss < losses; loss++) {
-        reported.add(
-            new TraitReport.ReportedLoss(
-                unpacker.unpackLong(), unpacker.unpackBoolean(), unpacker.unpackLong()));
-      }
-      reports.add(
-          new TraitReport(
-              trait,
-              answeredAge == UNKNOWN_AGE ? Optional.empty() : Optional.of(answeredAge),
-              reported));
-    }
-    return new QuarantineReport(reports);
-  }
-
-  private static Trait.Kind readTraitKind(String label) {
-    return Arrays.stream(Trait.Kind.values())
-        .filter(kind -> kind.label().equals(label))
-        .findFirst()
-        .orElseThrow(
-            () -> new CodecException(CodecException.MALFORMED, "unknown kind of trait: " + label));
-  }
-
   private static void writeReport(AdapterReport report, MessagePacker packer) throws IOException {
     packer
         .packString(report.instance())
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/quarantine/Quarantine.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/quarantine/Quarantine.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
@@ -195,26 +194,19 @@
    * coincidence, the newest first.
    */
   public List<TraitReport> reports(MonotonicTime time) {
-    return sortedReports(told(time), time).limit(MAXIMUM_REPORTS).toList();
+    return ReportOrder.newestFirst(told(time), time).limit(MAXIMUM_REPORTS).toList();
   }
 
   /** Returns those of the reports that hold evidence of this host which is younger than an age. */
   public List<TraitReport> ownReports(Duration maximumAge, MonotonicTime time) {
     Map<Trait, TraitRecord> told = told(time);
     told.keySet().retainAll(own);
-    return sortedReports(told, time)
-        .filter(report -> age(report) < maximumAge.toMillis())
+    return ReportOrder.newestFirst(told, time)
+        .filter(report -> ReportOrder.age(report) < maximumAge.toMillis())
         .limit(MAXIMUM_REPORTS)
         .toList();
   }
 
-  private static Stream<TraitReport> sortedReports(
-      Map<Trait, TraitRecord> told, MonotonicTime time) {
-    return told.entrySet().stream()
-        .map(entry -> report(entry.getKey(), entry.getValue(), time))
-        .sorted(Comparator.comparingLong(Quarantine::age));
-  }
-
   /**
    * Returns the answers of this host that clear what another host's reports restrict, for a reply
    * to that host.
@@ -245,7 +237,7 @@
     Map<Trait, TraitRecord> known = before.told(time);
     Map<Trait, TraitRecord> told = told(time);
     told.entrySet().removeIf(entry -> !isNews(entry.getValue(), known.get(entry.getKey())));
-    return sortedReports(told, time).limit(MAXIMUM_REPORTS).toList();
+    return ReportOrder.newestFirst(told, time).limit(MAXIMUM_REPORTS).toList();
   }
 
   private static boolean isNews(TraitRecord told, TraitRecord before) {
@@ -349,29 +341,6 @@
     return told;
   }
 
-  private static TraitReport report(Trait trait, TraitRecord known, MonotonicTime time) {
-    return new TraitReport(
-        trait,
-        known.answeredAt().map(answered -> Math.max(0, time.since(answered).toMillis())),
-        known.losses().values().stream()
-            .map(
-                loss ->
-                    new TraitReport.ReportedLoss(
-                        loss.serverRun(),
-                        loss.answerBegun(),
-                        Math.max(0, time.since(loss.at()).toMillis())))
-            .toList());
-  }
-
-  private static long age(TraitReport report) {
-    return Stream.concat(
-            report.losses().stream().map(TraitReport.ReportedLoss::ageMilliseconds),
-            report.answeredAgeMilliseconds().stream())
-        .mapToLong(Long::longValue)
-        .min()
-        .orElse(Long.MAX_VALUE);
-  }
-
   /**
    * A trial that this host has sent.
    *
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
@@ -85,7 +85,7 @@
     hosts.get(name).frozenUntil = now + duration.toNanos();
   }
 
-  /** Makes the store silent for some hosts, and lets their connections to it go silent for good. */
+  /** Makes the store silent for some hosts, whose open connections to it are never answered. */
   void silenceStore(Set<String> names) {
     silentFor.clear();
     silentFor.addAll(names);
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/MessageHeads.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/MessageHeads.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.Optional;
@@ -72,4 +73,9 @@
         ? Optional.empty()
         : Optional.of(Long.parseLong(digits));
   }
+
+  /** Returns whether a response tells where its body ends; if not, its connection does. */
+  static boolean framed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -12,8 +12,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.parsleyhead.core.dispatch.AttemptOutcome;
@@ -24,7 +22,6 @@
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.api.ResponseHead;
 import org.parsleyhead.gateway.callers.Exchange;
-import org.parsleyhead.runtime.log.EventLog;
 
 /**
  * One attempt to send a request to an instance, and the response to it.
@@ -35,8 +32,6 @@
  */
 final class UpstreamAttempt extends ChannelInboundHandlerAdapter {
 
-  private static final EventLog LOG = new EventLog("upstreams");
-
   /** The maximum size of a response that is buffered as a whole. */
   private static final int MAXIMUM_BUFFERED_RESPONSE_BYTES = 8 << 20;
 
@@ -94,17 +89,7 @@
 
   /** Logs an event with the identity of this attempt. */
   void log(String event, Object... keysAndValues) {
-    List<Object> fields =
-        new ArrayList<>(
-            List.of(
-                "request",
-                send.request().identifier(),
-                "attempt",
-                send.attempt(),
-                "instance",
-                send.instance().identifier()));
-    fields.addAll(List.of(keysAndValues));
-    LOG.request(event, fields.toArray());
+    AttemptLog.log(send, event, keysAndValues);
   }
 
   /**
@@ -225,12 +210,7 @@
       listener.accept(
           new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
     }
-    reusable &= HttpUtil.isKeepAlive(head) && framed(head);
-  }
-
-  /** Returns whether a response tells where its body ends; if not, its connection does. */
-  private static boolean framed(HttpResponse head) {
-    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    reusable &= HttpUtil.isKeepAlive(head) && MessageHeads.framed(head);
   }
 
   private void readContent(HttpContent content) {
@@ -316,7 +296,7 @@
       endLost("event_cut_off");
       return;
     }
-    if (!streamStarted && !framed(response)) {
+    if (!streamStarted && !MessageHeads.framed(response)) {
       endLost("stream_without_event");
       return;
     }
