--- a/review/harness/org/parsleyhead/review/HostProcess.java
+++ b/review/harness/org/parsleyhead/review/HostProcess.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -27,6 +29,7 @@
 
   private static final int LOWEST_PORT = 12_000;
   private static final int HIGHEST_PORT = 30_000;
+  private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Path directory;
   private final String name;
@@ -110,8 +113,7 @@
     return matcher.group(1);
   }
 
-  private String settings(List<String> seeds, String store, boolean bootstrap)
-      throws IOException {
+  private String settings(List<String> seeds, String store, boolean bootstrap) throws IOException {
     Map<String, String> values =
         Map.ofEntries(
             Map.entry("node_name", name),
@@ -142,6 +144,9 @@
   private static int freePort() throws IOException {
     for (int attempt = 0; attempt < 100; attempt++) {
       int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      if (!GIVEN_PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         return socket.getLocalPort();
       } catch (BindException exception) {
--- a/review/harness/org/parsleyhead/review/LargeBodiesCase.java
+++ b/review/harness/org/parsleyhead/review/LargeBodiesCase.java
@@ -6,7 +6,6 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -48,12 +47,11 @@
   /** Runs the case; exits with 1 if the rule was broken, 0 if it held, and 2 if it couldn't run. */
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Path directory = Files.createTempDirectory("parsleyhead-review");
     int status = 2;
-    try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
-      LargeBodiesCase playedCase = new LargeBodiesCase(trouble, record, directory);
-      Runtime.getRuntime()
-          .addShutdownHook(new Thread(() -> playedCase.endHost()));
+    try (WorkDirectory directory = WorkDirectory.create();
+        Record record = new Record(Path.of(arguments[0], "record.txt"))) {
+      LargeBodiesCase playedCase = new LargeBodiesCase(trouble, record, directory.path());
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> playedCase.endHost()));
       try {
         status = playedCase.play();
       } catch (IOException | IllegalStateException exception) {
--- a/review/harness/org/parsleyhead/review/ModelServer.java
+++ b/review/harness/org/parsleyhead/review/ModelServer.java
@@ -114,7 +114,7 @@
       status = running.getOrDefault(adapter, 0) == 0 ? 200 : 202;
     }
     Order order =
-        new Order(record.now(), text(body, "holder"), number(body, "fence", -1), status);
+        new Order(record.now(), operation, text(body, "holder"), number(body, "fence", -1), status);
     orders.add(order);
     record.write(
         "order at %s holder=%s fence=%d op=%s adapter=%s precondition=%d answered=%d",
@@ -173,9 +173,10 @@
    * An order that has arrived.
    *
    * @param at the seconds since the start of the case
+   * @param operation load or unload
    * @param holder the machine that sent it
    * @param fence its fencing token
    * @param status the answer
    */
-  record Order(double at, String holder, long fence, int status) {}
+  record Order(double at, String operation, String holder, long fence, int status) {}
 }
--- a/review/harness/org/parsleyhead/review/StaleOrderCase.java
+++ b/review/harness/org/parsleyhead/review/StaleOrderCase.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -41,10 +40,10 @@
   /** Runs the case; exits with 1 if the rule was broken, 0 if it held, and 2 if it couldn't run. */
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Path directory = Files.createTempDirectory("parsleyhead-review");
     int status = 2;
-    try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
-      StaleOrderCase playedCase = new StaleOrderCase(trouble, record, directory);
+    try (WorkDirectory directory = WorkDirectory.create();
+        Record record = new Record(Path.of(arguments[0], "record.txt"))) {
+      StaleOrderCase playedCase = new StaleOrderCase(trouble, record, directory.path());
       Runtime.getRuntime()
           .addShutdownHook(new Thread(() -> playedCase.hosts.forEach(HostProcess::kill)));
       try {
@@ -80,8 +79,11 @@
     }
     Callers callers = new Callers(hosts, record);
     Thread.sleep(8_000);
-    if (!hosts.stream().allMatch(HostProcess::ready)) {
-      throw new IllegalStateException("a host is not ready");
+    for (int attempt = 0; !hosts.stream().allMatch(HostProcess::ready); attempt++) {
+      if (attempt == 30) {
+        throw new IllegalStateException("a host is not ready");
+      }
+      Thread.sleep(500);
     }
     callers.start(16, 1);
     Thread.sleep(10_000);
@@ -89,7 +91,7 @@
     ModelServer server = servers.get(cutServer);
     double healedAt = Double.NaN;
     if (trouble) {
-      awaitOrder(server);
+      awaitAnsweredLoad(server);
       links.get(cutServer).cut();
       final double cutAt = record.now();
       record.announce("link to %s is cut", server.identifier());
@@ -133,11 +135,16 @@
     }
   }
 
-  /** Waits for an order, after which the connection of the holder is open for a while. */
-  private static void awaitOrder(ModelServer server) throws InterruptedException {
-    int known = server.orders().size();
-    for (int attempt = 0; server.orders().size() == known && attempt < 1_000; attempt++) {
-      Thread.sleep(5);
+  /** Waits until a load has just been answered, so that the next order finds an open connection. */
+  private void awaitAnsweredLoad(ModelServer server) throws InterruptedException {
+    for (int attempt = 0; attempt < 5_000; attempt++) {
+      List<ModelServer.Order> orders = server.orders();
+      ModelServer.Order last = orders.get(orders.size() - 1);
+      double age = record.now() - last.at();
+      if (last.operation().equals("load") && age > 0.03 && age < 0.06) {
+        return;
+      }
+      Thread.sleep(1);
     }
   }
 
@@ -161,8 +168,7 @@
       List<ModelServer.Order> counted =
           server.orders().stream()
               .filter(
-                  order ->
-                      !(order.at() >= healedAt && order.at() <= healedAt + THAW_SLACK_SECONDS))
+                  order -> !(order.at() >= healedAt && order.at() <= healedAt + THAW_SLACK_SECONDS))
               .toList();
       for (int later = 1; later < counted.size(); later++) {
         kept &= judge(server, counted.subList(0, later), counted.get(later));
--- a/review/harness/org/parsleyhead/review/StoreStandin.java
+++ b/review/harness/org/parsleyhead/review/StoreStandin.java
@@ -44,8 +44,7 @@
     if (request.target().startsWith("/kv-range")) {
       HttpListener.respond(output, 200, "Content-Type: application/json\r\n", page());
     } else if (request.target().startsWith("/kv-watch")) {
-      String events =
-          events(request.queryNumber("after", 0), request.queryNumber("wait_ms", 0));
+      String events = events(request.queryNumber("after", 0), request.queryNumber("wait_ms", 0));
       HttpListener.respond(output, 200, "Content-Type: application/json\r\n", events);
     } else {
       HttpListener.respond(output, 404, "", "");
@@ -68,10 +67,7 @@
       wait(Math.max(1, TimeUnit.NANOSECONDS.toMillis(left)));
     }
     List<String> events =
-        history.stream()
-            .filter(change -> change.revision() > after)
-            .map(Change::item)
-            .toList();
+        history.stream().filter(change -> change.revision() > after).map(Change::item).toList();
     return "{\"events\":[" + String.join(",", events) + "],\"store_revision\":" + revision + "}";
   }
 
