Log which connection carried an answer, what it carried before, and what was ignored

Change: connections to instances have a number; first_event, answered (new), send_ended, response_ignored (new, the first one of an attempt) and idle_connection_spoiled (new) name it with its age, the number of requests and the last one before, and the ignored answers. Metric parsleyhead_upstream_connections_total. No decision changed.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -34,6 +34,9 @@
   private static final MetricName SILENCE =
       MetricName.of("parsleyhead_publication_silence_seconds");
 
+  private static final MetricName CONNECTIONS =
+      MetricName.of("parsleyhead_upstream_connections_total");
+
   private final Metrics metrics = new Metrics(new MetricRegistry());
 
   /** Registers the gauges, whose values are read whenever the metrics are rendered. */
@@ -49,6 +52,11 @@
     metrics.gauge(SILENCE, () -> silence.get().toMillis() / MILLISECONDS_PER_SECOND);
   }
 
+  /** Registers the number of connections to instances that were opened so far. */
+  void registerConnections(LongSupplier opened) {
+    metrics.gauge(CONNECTIONS, opened::getAsLong);
+  }
+
   void registerRing(Ring<?> ring) {
     metrics.registerRing(ring);
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -197,6 +197,7 @@
         () -> dispatch.state().activeRequests(),
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
+    metrics.registerConnections(upstreams::openedConnections);
     metrics.registerPublicationGauges(
         () -> publication.state().revision(),
         () -> clock.now().since(publication.state().answeredAt()));
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.runtime.log.EventLog;
 
 /**
  * Closes an idle connection on which anything is received, since it belongs to no request.
@@ -13,11 +14,16 @@
  */
 final class IdleConnectionHandler extends ChannelInboundHandlerAdapter {
 
+  private static final EventLog LOG = new EventLog("upstreams");
+
   private final Instance instance;
+  private final UpstreamConnection connection;
   private final IdleConnectionPool pool;
+  private boolean spoiled;
 
-  IdleConnectionHandler(Instance instance, IdleConnectionPool pool) {
+  IdleConnectionHandler(Instance instance, UpstreamConnection connection, IdleConnectionPool pool) {
     this.instance = instance;
+    this.connection = connection;
     this.pool = pool;
   }
 
@@ -31,12 +37,18 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ReferenceCountUtil.release(message);
+    if (!spoiled) {
+      spoiled = true;
+      connection.responseIgnored();
+      LOG.request(
+          "idle_connection_spoiled", connection.describe("instance", instance.identifier()));
+    }
     context.close();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pool.remove(instance, context.channel());
+    pool.remove(instance, connection);
   }
 
   @Override
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
@@ -1,6 +1,5 @@
 package org.parsleyhead.gateway.upstreams;
 
-import io.netty.channel.Channel;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -34,7 +33,7 @@
    * Acquires the most recently used connection unless it has been idle for too long or was last
    * used by the same request: a late copy of the first response could not be told from the second.
    */
-  Optional<Channel> acquire(Instance instance, String request, Duration maximumIdle) {
+  Optional<UpstreamConnection> acquire(Instance instance, String request, Duration maximumIdle) {
     Deque<IdleConnection> connections = byInstance.get(key(instance));
     if (connections == null) {
       return Optional.empty();
@@ -42,7 +41,7 @@
     long now = System.nanoTime();
     while (!connections.isEmpty()) {
       IdleConnection connection = connections.peekLast();
-      boolean usable = connection.channel().isActive() && now < connection.usableUntil();
+      boolean usable = connection.isActive() && now < connection.usableUntil();
       boolean suitable =
           now - connection.idleSince() <= maximumIdle.toNanos()
               && !connection.lastRequest().equals(request);
@@ -51,9 +50,9 @@
       }
       connections.pollLast();
       if (usable) {
-        return Optional.of(connection.channel());
+        return Optional.of(connection.connection());
       }
-      connection.channel().close();
+      connection.close();
     }
     byInstance.remove(key(instance));
     return Optional.empty();
@@ -64,22 +63,26 @@
    *
    * @param lastRequest the identifier of the request that used it last
    */
-  void release(Instance instance, Channel channel, String lastRequest, Duration keepAliveTimeout) {
+  void release(
+      Instance instance,
+      UpstreamConnection connection,
+      String lastRequest,
+      Duration keepAliveTimeout) {
     Deque<IdleConnection> connections =
         byInstance.computeIfAbsent(key(instance), key -> new ArrayDeque<>());
     long now = System.nanoTime();
     long usableNanoseconds = (long) (keepAliveTimeout.toNanos() * USABLE_FRACTION);
-    connections.addLast(new IdleConnection(channel, lastRequest, now, now + usableNanoseconds));
+    connections.addLast(new IdleConnection(connection, lastRequest, now, now + usableNanoseconds));
     if (connections.size() > MAXIMUM_IDLE_PER_INSTANCE) {
-      connections.pollFirst().channel().close();
+      connections.pollFirst().close();
     }
   }
 
   /** Removes a closed connection. */
-  void remove(Instance instance, Channel channel) {
+  void remove(Instance instance, UpstreamConnection closed) {
     Deque<IdleConnection> connections = byInstance.get(key(instance));
     if (connections != null) {
-      connections.removeIf(connection -> connection.channel() == channel);
+      connections.removeIf(idle -> idle.connection() == closed);
       if (connections.isEmpty()) {
         byInstance.remove(key(instance));
       }
@@ -97,11 +100,20 @@
   /**
    * An idle connection.
    *
-   * @param channel the channel of the connection
+   * @param connection the connection
    * @param lastRequest the identifier of the request that used it last
    * @param idleSince when it was released, by {@link System#nanoTime()}
    * @param usableUntil when it is no longer used, by {@link System#nanoTime()}
    */
   private record IdleConnection(
-      Channel channel, String lastRequest, long idleSince, long usableUntil) {}
+      UpstreamConnection connection, String lastRequest, long idleSince, long usableUntil) {
+
+    boolean isActive() {
+      return connection.channel().isActive();
+    }
+
+    void close() {
+      connection.channel().close();
+    }
+  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -51,10 +51,11 @@
   private final ServerSentEventSplitter events = new ServerSentEventSplitter();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private final StreamSilenceTimer silenceTimer = new StreamSilenceTimer(this::reportSilence);
-  private Channel channel;
+  private UpstreamConnection connection;
   private HttpResponse response;
   private ResponseHead responseHead;
   private boolean ignoringResponse;
+  private boolean ignoredBefore;
   private boolean connectionFailed;
   private boolean cancelled;
   private boolean ended;
@@ -87,32 +88,31 @@
     return send.attempt();
   }
 
-  /** Logs an event with the identity of this attempt. */
+  /** Logs an event with the identity of this attempt and of its connection, if it has one. */
   void log(String event, Object... keysAndValues) {
-    AttemptLog.log(send, event, keysAndValues);
+    AttemptLog.log(
+        send, event, connection == null ? keysAndValues : connection.describe(keysAndValues));
   }
 
-  /**
-   * Writes the request to a connection.
-   *
-   * @param reused whether the connection was used by an earlier request
-   */
-  void write(Channel connected, boolean reused) {
-    channel = connected;
-    reusedConnection = reused;
+  /** Writes the request to a connection. */
+  void write(UpstreamConnection connected) {
+    connection = connected;
+    reusedConnection = connected.used();
+    Channel channel = connected.channel();
     if (cancelled || exchange.ended()) {
       idlePool.release(
           send.instance(), connected, send.request().identifier(), DEFAULT_KEEP_ALIVE_TIMEOUT);
-      connected.pipeline().addLast(new IdleConnectionHandler(send.instance(), idlePool));
+      channel.pipeline().addLast(new IdleConnectionHandler(send.instance(), connected, idlePool));
       end(UpstreamClient.notSent("caller_left"));
       return;
     }
-    IdleConnectionHandler.removeFrom(connected);
-    connected.pipeline().addLast(this);
+    IdleConnectionHandler.removeFrom(channel);
+    channel.pipeline().addLast(this);
     HttpHeaders headers = dialect.upstreamHeaders(exchange.head(), send, exchange.lastEvent());
-    UnansweredByteLimit.requestWritten(connected);
-    connected.writeAndFlush(
-        MessageHeads.request(exchange.head(), exchange.body(), headers), connected.voidPromise());
+    UnansweredByteLimit.requestWritten(channel);
+    connected.requestWritten(send.request().identifier());
+    channel.writeAndFlush(
+        MessageHeads.request(exchange.head(), exchange.body(), headers), channel.voidPromise());
   }
 
   void connectFailed(Throwable cause) {
@@ -124,9 +124,7 @@
     cancelled = true;
     ended = true;
     releaseResources();
-    if (channel != null) {
-      channel.close();
-    }
+    closeConnection();
   }
 
   @Override
@@ -153,10 +151,12 @@
     if (ended && !cancelled && context.channel().isActive()) {
       context.pipeline().remove(this);
       if (reusable) {
-        context.pipeline().addLast(new IdleConnectionHandler(send.instance(), idlePool));
+        context
+            .pipeline()
+            .addLast(new IdleConnectionHandler(send.instance(), connection, idlePool));
         idlePool.release(
             send.instance(),
-            context.channel(),
+            connection,
             send.request().identifier(),
             MessageHeads.keepAliveTimeout(response).orElse(DEFAULT_KEEP_ALIVE_TIMEOUT));
       } else {
@@ -201,9 +201,10 @@
     ignoringResponse = !matchesRequest || unstampedSuccess;
     if (ignoringResponse) {
       reusable = false;
+      ignore(head, parsed);
       return;
     }
-    UnansweredByteLimit.responseStarted(channel);
+    UnansweredByteLimit.responseStarted(connection.channel());
     response = head;
     responseHead = parsed;
     if (parsed.hasNotice()) {
@@ -213,6 +214,22 @@
     reusable &= HttpUtil.isKeepAlive(head) && MessageHeads.framed(head);
   }
 
+  /** Logs the first response that is ignored; a server may send any number of them. */
+  private void ignore(HttpResponse head, ResponseHead parsed) {
+    connection.responseIgnored();
+    if (!ignoredBefore) {
+      ignoredBefore = true;
+      log(
+          "response_ignored",
+          "identifier",
+          parsed.requestIdentifier().orElse("-"),
+          "status",
+          head.status().code(),
+          "stamped",
+          parsed.stamped());
+    }
+  }
+
   private void readContent(HttpContent content) {
     final boolean last = content instanceof LastHttpContent;
     if (ignoringResponse || response == null) {
@@ -266,12 +283,12 @@
       listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
       log("first_event");
       if (send.repeatable()) {
-        silenceTimer.start(channel.eventLoop());
+        silenceTimer.start(connection.channel().eventLoop());
       }
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
     exchange.writeEvents(Unpooled.wrappedBuffer(complete), events.lastIdentifier());
-    Channel upstream = channel;
+    Channel upstream = connection.channel();
     if (!exchange.checkWritable(() -> upstream.config().setAutoRead(true))) {
       upstream.config().setAutoRead(false);
     }
@@ -289,6 +306,7 @@
     if (!send.stream()) {
       exchange.respond(
           response.status(), dialect.callerHeaders(response), bufferedBody.toByteArray());
+      log("answered", "status", response.status().code());
       end(result(AttemptOutcome.COMPLETED, "answered"));
       return;
     }
@@ -338,8 +356,12 @@
             false,
             lostAt,
             reason));
-    if (channel != null) {
-      channel.close();
+    closeConnection();
+  }
+
+  private void closeConnection() {
+    if (connection != null) {
+      connection.channel().close();
     }
   }
 
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -1,7 +1,6 @@
 package org.parsleyhead.gateway.upstreams;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -14,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
@@ -52,6 +52,7 @@
   private final IdleConnectionPool idlePool = new IdleConnectionPool();
   private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_BUFFERED_BYTES);
   private final Map<Long, UpstreamAttempt> activeAttempts = new HashMap<>();
+  private final AtomicLong openedConnections = new AtomicLong();
 
   /** Creates a client without connections. */
   public UpstreamClient(HttpDialect dialect, AttemptListener listener, EventLoopGroup eventLoops) {
@@ -66,18 +67,23 @@
         new UpstreamAttempt(
             send, exchange, dialect, listener, idlePool, responseMemory, this::attemptEnded);
     activeAttempts.put(send.request().key(), attempt);
-    Optional<Channel> reused =
+    Optional<UpstreamConnection> reused =
         idlePool.acquire(
             send.instance(),
             send.request().identifier(),
             send.repeatable() ? Duration.ofHours(1) : MAXIMUM_IDLE_FOR_NON_REPEATABLE);
     if (reused.isPresent()) {
-      attempt.write(reused.get(), true);
+      attempt.write(reused.get());
     } else {
       connect(send.instance(), attempt);
     }
   }
 
+  /** Returns the number of connections that were opened so far. Thread-safe. */
+  public long openedConnections() {
+    return openedConnections.get();
+  }
+
   /** Returns the bytes of responses that are buffered. */
   long bufferedBytes() {
     return responseMemory.totalBytes();
@@ -110,7 +116,8 @@
     connected.addListener(
         done -> {
           if (done.isSuccess()) {
-            attempt.write(connected.channel(), false);
+            attempt.write(
+                new UpstreamConnection(connected.channel(), openedConnections.incrementAndGet()));
           } else {
             attempt.connectFailed(done.cause());
           }
