End a HEAD request at a response to another request

The HTTP decoder takes the next response on a connection as the response to the next request; an ignored late copy used up the entry of a HEAD request, and the real response, which has a length and no body, was waited for or filled up with what followed. Change: ResponseMatch decides how a response relates to the request under way; under a HEAD request a response to another one ends the attempt (response_of_unknown_request) and the connection.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -187,20 +187,19 @@
       return;
     }
     ResponseHead parsed = dialect.readResponse(head);
-    boolean identified = parsed.requestIdentifier().isPresent();
-    if (!identified && reusedConnection) {
-      endBroken("unidentified_response");
-      return;
-    }
-    boolean matchesRequest =
-        identified
-            ? parsed.requestIdentifier().get().equals(send.request().identifier())
-            : !Exchange.isSuccess(head.status());
-    boolean unstampedSuccess = Exchange.isSuccess(head.status()) && !parsed.stamped();
-    ignoringResponse = !matchesRequest || unstampedSuccess;
+    ResponseMatch match =
+        ResponseMatch.of(
+            parsed,
+            head.status(),
+            exchange.head().method(),
+            send.request().identifier(),
+            reusedConnection);
+    ignoringResponse = match != ResponseMatch.ANSWER;
     if (ignoringResponse) {
-      reusable = false;
       ignore(head, parsed);
+      if (match == ResponseMatch.UNCERTAIN) {
+        endBroken("response_of_unknown_request");
+      }
       return;
     }
     UnansweredByteLimit.responseStarted(connection.channel());
@@ -215,6 +214,7 @@
 
   /** Logs the first response that is ignored; a server may send any number of them. */
   private void ignore(HttpResponse head, ResponseHead parsed) {
+    reusable = false;
     connection.responseIgnored();
     if (!ignoredBefore) {
       ignoredBefore = true;
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
@@ -74,7 +74,12 @@
 
   /** Writes one more request to a connection. */
   void request(Socket socket, String path, String identifier) throws IOException {
-    String head = "GET " + path + " HTTP/1.1\r\nHost: host\r\nId: " + identifier + "\r\n\r\n";
+    request(socket, "GET", path, identifier);
+  }
+
+  /** Writes one more request with a method to a connection. */
+  void request(Socket socket, String method, String path, String identifier) throws IOException {
+    String head = method + " " + path + " HTTP/1.1\r\nHost: host\r\nId: " + identifier + "\r\n\r\n";
     socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
   }
 
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
@@ -237,6 +237,32 @@
       }
     }
 
+    @Test
+    @DisplayName("ends a HEAD request at a late copy, which makes the end of its response unknown")
+    void endsHeadRequest() throws Exception {
+      try (FakeRawServer server =
+              new FakeRawServer(
+                  (identifier, output) -> {
+                    if (identifier.equals("second")) {
+                      output.write(text(plain("first", "")));
+                      output.write(
+                          text(
+                              "HTTP/1.1 200 OK\r\nId: second\r\nStamp: s\r\n"
+                                  + "Content-Length: 3\r\n\r\n"));
+                    } else {
+                      output.write(text(plain("first", "")));
+                    }
+                  });
+          ForwardingHost host = new ForwardingHost(server.port());
+          Socket caller = host.request("/plain", "first")) {
+        assertEquals(AttemptOutcome.COMPLETED, host.nextEnd().result().outcome());
+        host.request(caller, "HEAD", "/plain", "second");
+        AttemptResult result = host.nextEnd().result();
+        assertEquals(AttemptOutcome.BROKEN, result.outcome());
+        assertEquals("response_of_unknown_request", result.reason());
+      }
+    }
+
     @Test
     @DisplayName("does not send a request twice on the same connection")
     void opensConnectionForSecondAttempt() throws Exception {
