--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
@@ -41,7 +41,9 @@
       spoiled = true;
       connection.responseIgnored();
       LOG.request(
-          "idle_connection_spoiled", connection.describe("instance", instance.identifier()));
+          "idle_connection_spoiled",
+          connection.describe(
+              "instance", instance.identifier(), "last_request", connection.lastRequest()));
     }
     context.close();
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
@@ -29,6 +29,7 @@
   private int requests;
   private int ignoredResponses;
   private String lastRequest = NO_REQUEST;
+  private String formerRequest = NO_REQUEST;
 
   /**
    * Creates a connection on which nothing was sent yet.
@@ -68,9 +69,15 @@
     }
     carriedHashCodes[requests] = identifier.hashCode();
     requests++;
+    formerRequest = lastRequest;
     lastRequest = identifier;
   }
 
+  /** Returns the identifier of the request that was written to it last. */
+  String lastRequest() {
+    return lastRequest;
+  }
+
   /** Records that a response was ignored that belongs to no request under way. */
   void responseIgnored() {
     ignoredResponses++;
@@ -86,8 +93,8 @@
             Duration.ofNanos(System.nanoTime() - openedAt).toMillis(),
             "requests",
             requests,
-            "last_request",
-            lastRequest,
+            "former_request",
+            formerRequest,
             "ignored",
             ignoredResponses);
     return Stream.concat(Arrays.stream(keysAndValues), own.stream()).toArray();
