Read each response with a codec of its own

Callers could get a success where the server had answered with a failure, on one send with the right identifier and stamp (MIXED), or lose an answer that had come (not_http). Cause: one HTTP codec for the life of a connection. The beginning of a late second answer stayed in it undecoded, the connection counted as clean, and the next answer was read as its rest: 'HTTP/1.1 200 OK, Server: abc' and 'HTTP/1.1 500 Error' became a 200 with the identifier of the 500. Only decoded messages closed an idle connection. Change: a codec is attached with each request and removed at the end of its response; what it has left, and whatever comes on an idle connection, reaches IdleConnectionHandler as bytes and closes the connection. The codec's list of methods starts anew too.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionPool.java
@@ -62,9 +62,9 @@
     unusable.forEach(IdleConnection::close);
   }
 
-  /** Makes a connection available to later requests, or closes it if it must carry no more. */
+  /** Makes a connection available to later requests; one that must carry no more is closed. */
   void release(Instance instance, UpstreamConnection connection, Duration keepAliveTimeout) {
-    if (connection.exhausted()) {
+    if (connection.exhausted() || !connection.channel().isActive()) {
       connection.channel().close();
       return;
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -105,10 +105,8 @@
       endUnsent("caller_left");
       return;
     }
-    IdleConnectionHandler.removeFrom(channel);
-    channel.pipeline().addLast(this);
     HttpHeaders headers = dialect.upstreamHeaders(exchange.head(), send, exchange.lastEvent());
-    UnansweredByteLimit.requestWritten(channel);
+    connected.attach(this);
     connected.requestWritten(send.request().identifier());
     channel.writeAndFlush(
         MessageHeads.request(exchange.head(), exchange.body(), headers), channel.voidPromise());
@@ -149,11 +147,8 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     if (ended && !cancelled && context.channel().isActive()) {
-      context.pipeline().remove(this);
       if (reusable) {
-        context
-            .pipeline()
-            .addLast(new IdleConnectionHandler(send.instance(), connection, idlePool));
+        connection.detach(this, new IdleConnectionHandler(send.instance(), connection, idlePool));
         idlePool.release(
             send.instance(),
             connection,
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -7,8 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -42,10 +40,6 @@
   /** The maximum number of bytes of responses that are buffered; a part of the smallest heap. */
   private static final long MAXIMUM_BUFFERED_BYTES = 24 << 20;
 
-  private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 << 10;
-  private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
-  private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
-
   private final HttpDialect dialect;
   private final AttemptListener listener;
   private final EventLoopGroup eventLoops;
@@ -113,7 +107,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new UnansweredByteLimit()).addLast(codec());
+                    channel.pipeline().addLast(new UnansweredByteLimit());
                   }
                 })
             .connect(instance.endpoint().address(), instance.endpoint().port());
@@ -146,14 +140,4 @@
           new DispatchEvent.AttemptEnded(attempt.requestKey(), attempt.attemptNumber(), result));
     }
   }
-
-  private static HttpClientCodec codec() {
-    return new HttpClientCodec(
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAXIMUM_INITIAL_LINE_BYTES)
-            .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
-            .setMaxChunkSize(MAXIMUM_CHUNK_BYTES),
-        false,
-        false);
-  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
@@ -1,6 +1,9 @@
 package org.parsleyhead.gateway.upstreams;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
@@ -11,14 +14,18 @@
  *
  * <p>Confined to the event loop. It carries each request identifier at most once: servers echo the
  * identifier, and a late second response to an earlier send could not be told from the response to
- * a later one. It remembers the hash codes of all identifiers that it carried; equal hash codes of
- * different identifiers cost another connection.
+ * a later one. Each request is read by a codec of its own, so that no bytes that follow a response
+ * become a part of the next one. The connection remembers the hash codes of all identifiers that it
+ * carried; equal hash codes of different identifiers cost another connection.
  */
 final class UpstreamConnection {
 
   /** Bounds the remembered hash codes to 1 KiB; then the connection is not used again. */
   static final int MAXIMUM_REQUESTS = 256;
 
+  private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 << 10;
+  private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
+  private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
   private static final int INITIAL_CAPACITY = 4;
   private static final String NO_REQUEST = "-";
 
@@ -45,6 +52,33 @@
     return channel;
   }
 
+  /** Attaches the handler of an attempt, behind a codec that has read nothing yet. */
+  void attach(ChannelHandler attempt) {
+    IdleConnectionHandler.removeFrom(channel);
+    UnansweredByteLimit.requestWritten(channel);
+    channel.pipeline().addLast(codec()).addLast(attempt);
+  }
+
+  /**
+   * Replaces the handler of an attempt whose response is complete; bytes that the codec has read
+   * beyond the response are passed to the handler of the idle connection.
+   */
+  void detach(ChannelHandler attempt, IdleConnectionHandler idleHandler) {
+    channel.pipeline().remove(attempt);
+    channel.pipeline().addLast(idleHandler);
+    channel.pipeline().remove(HttpClientCodec.class);
+  }
+
+  private static HttpClientCodec codec() {
+    return new HttpClientCodec(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAXIMUM_INITIAL_LINE_BYTES)
+            .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
+            .setMaxChunkSize(MAXIMUM_CHUNK_BYTES),
+        false,
+        false);
+  }
+
   /** Returns whether a request was written to it before. */
   boolean used() {
     return requests > 0;
