Attribute no response to a request whose head holds another status line

Callers could get a 200 where the server had answered 500. Change: on a connection that has carried other requests, a response whose reason phrase or fields hold a status line ends the attempt as possibly run (unattributable_response, which also replaces the name response_of_unknown_request). Not covered: a body with a length that is cut off and filled up with what follows, which no head tells.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -184,16 +184,12 @@
     ResponseHead parsed = dialect.readResponse(head);
     ResponseMatch match =
         ResponseMatch.of(
-            parsed,
-            head.status(),
-            exchange.head().method(),
-            send.request().identifier(),
-            reusedConnection);
+            head, parsed, exchange.head().method(), send.request().identifier(), reusedConnection);
     ignoringResponse = match != ResponseMatch.ANSWER;
     if (ignoringResponse) {
       ignore(head, parsed);
-      if (match == ResponseMatch.UNCERTAIN) {
-        endBroken("response_of_unknown_request");
+      if (match == ResponseMatch.UNATTRIBUTABLE) {
+        endBroken("unattributable_response");
       }
       return;
     }
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/IncompleteLateResponseTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/IncompleteLateResponseTests.java
@@ -97,4 +97,22 @@
             });
     assertEquals(AttemptOutcome.FAILED, result.outcome());
   }
+
+  @ParameterizedTest
+  @EnumSource(Beginning.class)
+  @DisplayName("that comes before the next response makes that response uncertain")
+  void endsAttempt(Beginning beginning) throws Exception {
+    AttemptResult result =
+        resultOfSecondRequest(
+            (identifier, output) -> {
+              if (identifier.equals("first")) {
+                write(output, response("200 OK", "first"));
+              } else {
+                write(output, beginning.text);
+                LockSupport.parkNanos(DELAY_NANOSECONDS);
+                write(output, response("500 Error", identifier));
+              }
+            });
+    assertEquals(AttemptOutcome.BROKEN, result.outcome());
+  }
 }
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
@@ -259,7 +259,7 @@
         host.request(caller, "HEAD", "/plain", "second");
         AttemptResult result = host.nextEnd().result();
         assertEquals(AttemptOutcome.BROKEN, result.outcome());
-        assertEquals("response_of_unknown_request", result.reason());
+        assertEquals("unattributable_response", result.reason());
       }
     }
 
