Use no connection again after a HEAD request

Change: a connection is closed after a HEAD request. Result: UpstreamClientTests.closesConnectionAfterHeadRequest failed before (one connection), passes now.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -200,7 +201,10 @@
       listener.accept(
           new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
     }
-    reusable &= HttpUtil.isKeepAlive(head) && MessageHeads.framed(head);
+    reusable &=
+        HttpUtil.isKeepAlive(head)
+            && MessageHeads.framed(head)
+            && !exchange.head().method().equals(HttpMethod.HEAD);
   }
 
   /** Logs the first response that is ignored; a server may send any number of them. */
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
@@ -67,8 +67,13 @@
 
   /** Opens a connection and writes one request. */
   Socket request(String path, String identifier) throws IOException {
+    return request("GET", path, identifier);
+  }
+
+  /** Opens a connection and writes one request with a method. */
+  Socket request(String method, String path, String identifier) throws IOException {
     Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-    request(socket, path, identifier);
+    request(socket, method, path, identifier);
     return socket;
   }
 
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
@@ -263,6 +263,25 @@
       }
     }
 
+    @Test
+    @DisplayName(
+        "uses no connection again after a HEAD request, whose late copy has no body to skip")
+    void closesConnectionAfterHeadRequest() throws Exception {
+      String head = "HTTP/1.1 200 OK\r\nId: first\r\nStamp: s\r\nContent-Length: 3\r\n\r\n";
+      try (FakeRawServer server =
+              new FakeRawServer(
+                  (identifier, output) ->
+                      output.write(
+                          text(identifier.equals("first") ? head : head + plain("second", "2"))));
+          ForwardingHost host = new ForwardingHost(server.port());
+          Socket caller = host.request("HEAD", "/plain", "first")) {
+        assertEquals(AttemptOutcome.COMPLETED, host.nextEnd().result().outcome());
+        host.request(caller, "/plain", "second");
+        host.nextEnd();
+        assertEquals(2, server.connections());
+      }
+    }
+
     @Test
     @DisplayName("does not send a request twice on the same connection")
     void opensConnectionForSecondAttempt() throws Exception {
