List the store again on another connection

What callers could see: routes, keys and servers that exist vanish from a host (404, 401, 503) until the next listing.

Cause: HTTP/1.1 matches answers by their position. The first page of a listing is asked for with no name of its own. A late second answer to the last page of the listing before, on the same connection, was taken for the first page of the new one: has_more is false, so the listing counts as complete, and all items on its other pages count as deleted.

Change: a listing starts on a new connection, as a read does that follows a late or failed one. Within one listing a late second page cannot end it: all its earlier pages say has_more, and the next read asks for the same key once more. A watch needs none: whatever an earlier watch returned is true, and the revision never decreases.

Cost: one connection to the store for each listing (start, dropped history).

Test: PublicationTransitionTests.listsAgainOnAnotherConnection, which failed before (connection=0 expected 1); PublicationFleetTests (19) pass.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -57,9 +57,7 @@
     }
     if (event instanceof PublicationEvent.HistoryDropped dropped
         && dropped.readNumber() == state.reads().readNumber()) {
-      PublicationState relisting =
-          state.withReads(
-              reads -> reads.withListing(Optional.of(StoreReads.Listing.START)).withNextAt(time));
+      PublicationState relisting = state.withReads(reads -> reads.withNewListing(time));
       return markAnswered(relisting, time).andThen(next -> startRead(next, time));
     }
     if (event instanceof PublicationEvent.ReadFailed failed
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
@@ -13,7 +13,8 @@
  *
  * @param readNumber the number of the latest read
  * @param connection the number of the connection that reads use; a new one after each read whose
- *     answer is late or that failed
+ *     answer is late or that failed, and for each listing, since a page does not tell which listing
+ *     it belongs to
  * @param listing the listing in progress; empty while changes are watched
  * @param nextReadAt when the next read may start; empty while one is in progress
  * @param startedAt when the read in progress was started; empty if there is none
@@ -77,6 +78,19 @@
         silenceReported);
   }
 
+  /** Returns this progress with a listing from the start, which may begin at an instant. */
+  StoreReads withNewListing(MonotonicTime next) {
+    return new StoreReads(
+        readNumber,
+        connection + 1,
+        Optional.of(Listing.START),
+        Optional.of(next),
+        Optional.empty(),
+        reachable,
+        answeredAt,
+        silenceReported);
+  }
+
   StoreReads withAnswer(MonotonicTime time) {
     return new StoreReads(
         readNumber, connection, listing, nextReadAt, startedAt, true, time, false);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -97,6 +97,16 @@
     assertEquals(List.of(deletion("a", 30)), ((PublicationEffect.Changed) effects.get(0)).items());
   }
 
+  @Test
+  @DisplayName(
+      "lists again on another connection, where no second answer to an earlier listing can come")
+  void listsAgainOnAnotherConnection() {
+    list(5, item("a", 2, "x"), item("b", 3, "y"));
+    assertEquals(
+        List.of(new PublicationEffect.ReadPage(state.reads().readNumber() + 1, 1, "")),
+        apply(new PublicationEvent.HistoryDropped(state.reads().readNumber())));
+  }
+
   @Test
   @DisplayName("brings back nothing after a restart that a complete listing lacks")
   void bringsBackNothing() {
