Let no answer to a former process count as votes

What callers could see: two hosts that order loads and unloads at one model server at a time (rule ONE).

Cause: an answer to a heartbeat is matched by the heartbeat's number, and the numbers began at 1 in each process. A host that answers a former process late (frozen, or its connection just being opened again) reaches the next process at the same endpoint. There the number names another heartbeat, and votesForAll counts for all claims of that one, of which the voter knows nothing and by which it is not bound.

Change: the numbers begin at the random incarnation of the process. An answer to a former process names none of the last 32 heartbeats and is ignored. Weighed: the incarnation in each answer (one more field for the same certainty).

Tests: HeartbeatAnswerTests; countsNoVotesForNextProcess failed before (the lease was won). FleetProtocolTests (91), FleetTrafficTests and the codec's tests pass with the longer numbers.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetSettings.java
@@ -9,7 +9,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param self the endpoint at which this host receives messages; its identity across restarts
- * @param incarnation the number of this run of the process
+ * @param incarnation the random number of this run of the process
  * @param capacityPercent the processor share of this host, in hundredths of a core
  * @param seeds endpoints of the hosts to contact first, possibly stale
  * @param heartbeatInterval the time between heartbeats to a live host
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -65,7 +65,7 @@
             first ? time : time.plus(settings.voteDuration()),
             0,
             0,
-            0,
+            settings.incarnation(),
             0,
             false,
             HashTreePMap.empty()),
@@ -229,7 +229,8 @@
    * @param earliestVoteAt from when this host may vote; a restarted one has lost its earlier votes
    * @param wallClockMilliseconds the wall-clock time at the last tick, in milliseconds since 1970
    * @param highestFence the highest fencing number that this host has observed
-   * @param lastNonce the number of the last heartbeat
+   * @param lastNonce the number of the last heartbeat; the numbers start at the incarnation, so
+   *     that an answer to a former process matches no heartbeat of this one
    * @param lastOrderNumber the number of the last order
    * @param leaving whether this process is about to stop
    * @param sentHeartbeats the most recent heartbeats, by their number
