Let the plain servers of the soak refuse, fail and answer twice

Change: a plain server answers by a plan (success, 500 or 503 not-run, after a drawn time, and a second answer 0 to 3 s later whose kind may differ). Each body bears the number of its send; the ledger records the first answers. Beside the other faults, all plain servers stutter for 0.3 to 4 s at a time. Checked: every success and every stamped failure is a first answer to that very request, and no request that must not be repeated has run behind a delivered refusal of its server.

--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakChecks.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakChecks.java
@@ -9,11 +9,12 @@
 import java.util.stream.Collectors;
 import org.parsleyhead.platform.standin.CallerStandin.Kind;
 import org.parsleyhead.platform.standin.CallerStandin.Outcome;
+import org.parsleyhead.platform.standin.ResponseBodies;
 import org.parsleyhead.platform.standin.RunLedger;
 
 /**
- * Checks the outcomes at callers against the requests that servers ran and the orders that they
- * accepted.
+ * Checks the outcomes at callers against the requests that servers ran, their answers and the
+ * orders that they accepted.
  *
  * <p>Stateless and thread-safe.
  */
@@ -39,6 +40,8 @@
     List<String> violations = new ArrayList<>();
     Map<String, List<RunLedger.Run>> runs =
         ledger.runs().stream().collect(Collectors.groupingBy(RunLedger.Run::request));
+    Map<String, List<RunLedger.Answer>> answers =
+        ledger.answers().stream().collect(Collectors.groupingBy(RunLedger.Answer::request));
     for (Outcome outcome : outcomes) {
       List<RunLedger.Run> ownRuns = runs.getOrDefault(outcome.request(), List.of());
       if (outcome.kind() == Kind.BOOK && ownRuns.size() > 1) {
@@ -47,8 +50,16 @@
       if (NOT_RUN_STATUSES.contains(outcome.status()) && !outcome.stamped() && !ownRuns.isEmpty()) {
         violations.add("ran although refused as not run: " + outcome + ownRuns);
       }
-      if (outcome.status() == 200 && !(outcome.stamped() && outcome.complete())) {
-        violations.add("success with an incomplete response: " + outcome + ownRuns);
+      boolean refusedByServer = NOT_RUN_STATUSES.contains(outcome.status()) && outcome.stamped();
+      if (outcome.kind() == Kind.BOOK && refusedByServer && !ownRuns.isEmpty()) {
+        violations.add("ran although its server's refusal was delivered: " + outcome + ownRuns);
+      }
+      if (outcome.status() == 200 && !outcome.stamped()) {
+        violations.add("success without the stamp of a server: " + outcome + ownRuns);
+      }
+      List<RunLedger.Answer> ownAnswers = answers.getOrDefault(outcome.request(), List.of());
+      if ((outcome.status() == 200 || outcome.stamped()) && !sentByServer(outcome, ownAnswers)) {
+        violations.add("not the whole answer of a server: " + outcome + ownAnswers);
       }
       String account = outcome.key().replace("key", "account");
       if (ownRuns.stream().anyMatch(run -> !run.account().equals(java.util.Optional.of(account)))) {
@@ -63,6 +74,20 @@
     return violations;
   }
 
+  /**
+   * Returns whether a response is the first answer of a server to one of the sends of the request.
+   * The body of each answer is unique, so that neither a second answer nor a response to another
+   * request passes.
+   */
+  private static boolean sentByServer(Outcome outcome, List<RunLedger.Answer> ownAnswers) {
+    if (outcome.kind() == Kind.CHAT) {
+      return outcome.body().equals(ResponseBodies.stream(outcome.request()));
+    }
+    return ownAnswers.stream()
+        .anyMatch(
+            answer -> answer.status() == outcome.status() && answer.body().equals(outcome.body()));
+  }
+
   private static List<String> findCompetingOrders(List<RunLedger.Order> orders) {
     List<String> violations = new ArrayList<>();
     Map<String, RunLedger.Order> lastOrders = new HashMap<>();
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import org.parsleyhead.platform.standin.AnswerPlan;
 import org.parsleyhead.standin.proxy.DirectionFault;
 import org.parsleyhead.standin.proxy.FaultProxy;
 import org.parsleyhead.standin.proxy.ProxyFault;
@@ -17,6 +18,7 @@
 /**
  * Injects random faults, drawn from a seed, from outside the processes. Several are in force at a
  * time, each on a host or server of its own; at least one host stays without a fault of its own.
+ * Beside them, all plain servers together answer badly from time to time.
  *
  * <p>{@link #run} is confined to one thread and injects the faults on worker threads; the shared
  * state is guarded by the monitor of this object.
@@ -26,6 +28,7 @@
   private static final int CONCURRENT_FAULTS = 3;
   private static final int MINIMUM_FAULT_MILLISECONDS = 300;
   private static final int MAXIMUM_FAULT_MILLISECONDS = 4_000;
+  private static final int MAXIMUM_PAUSE_MILLISECONDS = 1_500;
 
   private final SoakFleet fleet;
   private final Random random;
@@ -53,7 +56,7 @@
 
   /** Injects faults for a duration and returns when all have been cleared. */
   void run(Duration duration) throws InterruptedException {
-    ExecutorService executor = Executors.newFixedThreadPool(CONCURRENT_FAULTS);
+    ExecutorService executor = Executors.newFixedThreadPool(CONCURRENT_FAULTS + 1);
     long end = System.nanoTime() + duration.toNanos();
     for (int worker = 0; worker < CONCURRENT_FAULTS; worker++) {
       executor.execute(
@@ -64,6 +67,13 @@
             }
           });
     }
+    executor.execute(
+        () -> {
+          while (System.nanoTime() < end) {
+            stutter();
+            sleep(randomInteger(MAXIMUM_PAUSE_MILLISECONDS));
+          }
+        });
     executor.shutdown();
     executor.awaitTermination(duration.toSeconds() + 60, TimeUnit.SECONDS);
   }
@@ -164,6 +174,19 @@
     fleet.removeServer(server);
   }
 
+  /** Lets all plain servers refuse and fail requests and send second answers for some time. */
+  private void stutter() {
+    List<SoakFleet.Server> plain =
+        fleet.servers().stream().filter(server -> !server.standin().engine()).toList();
+    synchronized (this) {
+      faultCounts.merge("stutter", 1, Integer::sum);
+    }
+    StutteringAnswers answers = new StutteringAnswers(randomInteger(Integer.MAX_VALUE));
+    plain.forEach(server -> server.standin().answerPlainRequests(answers));
+    sleep(randomDuration().toMillis());
+    plain.forEach(server -> server.standin().answerPlainRequests(() -> AnswerPlan.SOUND));
+  }
+
   private void issueAndRevokeKey() {
     int number;
     synchronized (this) {
