--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
+import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
 import org.parsleyhead.core.instance.Instance;
@@ -41,13 +43,36 @@
   private final UpstreamClient client;
   private final int port;
 
+  /** Handles the end of an attempt. Called on the event loop. */
+  @FunctionalInterface
+  interface AttemptEndAction {
+
+    /** Handles the end of the attempt for an exchange, which may already be answered. */
+    void attemptEnded(Exchange exchange, AttemptResult result);
+  }
+
+  /** Creates a host that delivers complete successes only. */
   ForwardingHost(int serverPort) throws IOException {
+    this(serverPort, (exchange, result) -> {});
+  }
+
+  /** Creates a host that runs an action at the end of each attempt. */
+  ForwardingHost(int serverPort, AttemptEndAction onAttemptEnd) throws IOException {
     FakeHttpDialect dialect = new FakeHttpDialect();
-    this.client = new UpstreamClient(dialect, events::add, eventLoops);
+    Map<Long, Exchange> exchanges = new HashMap<>();
+    AttemptListener attemptListener =
+        event -> {
+          events.add(event);
+          if (event instanceof DispatchEvent.AttemptEnded ended) {
+            onAttemptEnd.attemptEnded(exchanges.remove(ended.requestKey()), ended.result());
+          }
+        };
+    this.client = new UpstreamClient(dialect, attemptListener, eventLoops);
     CallerListener listener =
         new CallerListener() {
           @Override
           public boolean requestReceived(Exchange exchange) {
+            exchanges.put(exchange.request().key(), exchange);
             client.send(send(exchange, serverPort), exchange);
             return true;
           }
@@ -65,9 +90,14 @@
     this.port = openOnFreePort(server);
   }
 
+  /** Opens a connection. */
+  Socket connect() throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), port);
+  }
+
   /** Opens a connection and writes one request. */
   Socket request(String path, String identifier) throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    Socket socket = connect();
     request(socket, path, identifier);
     return socket;
   }
