Read again from a connection whose stream ended while its caller was slow

Requests waited without an answer behind a stream to another, slow caller. Cause: an event that finds the caller's connection full stops reading from the server's connection. If the stream ends in the same read, the connection went back to the pool with reading off: the next request on it was written, its answer was read only once the slow caller read on, or never. Change: reading is switched on when a connection goes back to the pool.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -154,6 +154,7 @@
         context
             .pipeline()
             .addLast(new IdleConnectionHandler(send.instance(), connection, idlePool));
+        context.channel().config().setAutoRead(true);
         idlePool.release(
             send.instance(),
             connection,
