--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
@@ -61,12 +61,14 @@
 
   /**
    * Replaces the handler of an attempt whose response is complete; bytes that the codec has read
-   * beyond the response are passed to the handler of the idle connection.
+   * beyond the response are passed to the handler of the idle connection. Reading goes on if it was
+   * stopped for a slow caller.
    */
   void detach(ChannelHandler attempt, IdleConnectionHandler idleHandler) {
     channel.pipeline().remove(attempt);
     channel.pipeline().addLast(idleHandler);
     channel.pipeline().remove(HttpClientCodec.class);
+    channel.config().setAutoRead(true);
   }
 
   private static HttpClientCodec codec() {
