Keep an attempt whose first event crosses the check for silence

Cause: the dispatch duty decides on silence, and the event loop forwards events. CancelAttempt and the next Send were issued together, while the first event and ResponseStarted of the old attempt were on their way. The event loop closed a connection whose answer the caller was reading, and the duty ignored ResponseStarted of an attempt that it had replaced. If the next attempt failed, the duty refused a request whose head had been sent, and the refusal closed the connection.

Evidence: replayed on the sources before with DispatchFixture: the check returns [CancelAttempt, Send, WakeAfter]; ResponseStarted and the end of attempt 1 return nothing; the break of attempt 2 returns [Refuse].

Change: the duty asks to withdraw the attempt and stays with it. The event loop, which alone knows what has reached the caller, closes the connection only if it is silent still, and reports the attempt as WITHDRAWN; only then the request is sent elsewhere. If the answer has begun, gone on or ended, nothing is done, since the events that tell so are on their way. The same holds for streams that fall silent after their first event.

Invariant: an attempt whose first event has reached the caller is never replaced for silence before the first event.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -52,7 +52,7 @@
         || active.progress().attempts() != silent.attempt()) {
       return Step.of(state);
     }
-    return dispatcher.leaveSilentServer(state, active, time).orElse(Step.of(state));
+    return dispatcher.leaveSilentServer(state, active, time);
   }
 
   Step<DispatchState, DispatchEffect> onAttemptEnded(
@@ -111,7 +111,7 @@
   private Step<DispatchState, DispatchEffect> continueAfter(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
-      case NOT_SENT, MISDIRECTED, NO_ROOM -> dispatcher.dispatch(state, active, time);
+      case NOT_SENT, MISDIRECTED, NO_ROOM, WITHDRAWN -> dispatcher.dispatch(state, active, time);
       case FAILED, BROKEN -> {
         if (active.mayRunAgain()) {
           Step<DispatchState, DispatchEffect> retry = dispatcher.dispatch(state, active, time);
@@ -174,7 +174,7 @@
       InstanceHealth health, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
       case COMPLETED -> health.succeeded(time);
-      case MISDIRECTED -> health;
+      case MISDIRECTED, WITHDRAWN -> health;
       case NO_ROOM, FAILED -> health.failed(time, false);
       case NOT_SENT, BROKEN ->
           health.failed(time, result.status() == 0 && !result.responseStarted());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptOutcome.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptOutcome.java
@@ -13,7 +13,9 @@
   /** The instance responded with an error, which is buffered. */
   FAILED(false, true),
   /** The connection broke or the response was malformed; the request may have run. */
-  BROKEN(false, true);
+  BROKEN(false, true),
+  /** This host closed the connection of a silent instance; the request may have run. */
+  WITHDRAWN(false, false);
 
   private final boolean notRun;
   private final boolean countsAgainstInstance;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -55,6 +55,19 @@
   record CancelAttempt(ServingRequest request, int attempt, String reason)
       implements DispatchEffect {}
 
+  /**
+   * Cancels an attempt whose instance is silent, and reports its end as {@link
+   * AttemptOutcome#WITHDRAWN}. Does nothing if the instance has sent events meanwhile or the
+   * attempt has ended, which its own events report.
+   *
+   * @param request the request
+   * @param attempt the number of the attempt
+   * @param answering whether the attempt was known to have begun to answer
+   * @param reason the reason, for the log
+   */
+  record WithdrawAttempt(ServingRequest request, int attempt, boolean answering, String reason)
+      implements DispatchEffect {}
+
   /** Asks the owner of an instance to order the load of an adapter. */
   record RequestLoad(String instance, AdapterKey adapter, String identifier)
       implements DispatchEffect {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -252,24 +252,28 @@
           state, active.with(active.progress().withNextWake()), active.deadline().since(time));
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
-    return redispatchSilent(penalized, active, time)
-        .orElseGet(
-            () ->
-                RequestWakes.schedule(
-                    penalized,
-                    active.with(active.progress().withNextWake()),
-                    RequestTimeouts.nextSilenceCheckDelay(active, time)));
+    Step<DispatchState, DispatchEffect> next =
+        acceptedElsewhere(penalized, active, time)
+            ? withdraw(penalized, active, "silent")
+            : Step.of(penalized);
+    return next.andThen(
+        before ->
+            RequestWakes.schedule(
+                before,
+                active.with(active.progress().withNextWake()),
+                RequestTimeouts.nextSilenceCheckDelay(active, time)));
   }
 
-  /**
-   * Leaves a server whose stream has become silent for one that can accept the request at once;
-   * empty if there is none.
-   */
-  Optional<Step<DispatchState, DispatchEffect>> leaveSilentServer(
+  /** Leaves a server whose stream has become silent if another one can accept it at once. */
+  Step<DispatchState, DispatchEffect> leaveSilentServer(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
-    return active.mayRunAgain()
-        ? redispatchSilent(withSilentAttempt(state, active, time), active, time)
-        : Optional.empty();
+    if (!active.mayRunAgain()) {
+      return Step.of(state);
+    }
+    DispatchState penalized = withSilentAttempt(state, active, time);
+    return acceptedElsewhere(penalized, active, time)
+        ? withdraw(penalized, active, "silent")
+        : Step.of(state);
   }
 
   private static DispatchState withSilentAttempt(
@@ -283,22 +287,32 @@
   }
 
   /**
-   * Sends a request to another server if that can accept it without a load. Otherwise the request
-   * stays with its silent server, which may still respond.
+   * Cancels an attempt unless its server has sent something that this duty does not know of yet.
+   * The request is dispatched again once the end of the attempt is reported.
    */
-  private Optional<Step<DispatchState, DispatchEffect>> redispatchSilent(
-      DispatchState state, ActiveRequest active, MonotonicTime time) {
+  private static Step<DispatchState, DispatchEffect> withdraw(
+      DispatchState state, ActiveRequest active, String reason) {
+    Progress progress = active.progress();
+    return Step.of(
+        state,
+        new DispatchEffect.WithdrawAttempt(
+            active.request(), progress.attempts(), progress.assignment().answering(), reason));
+  }
+
+  /**
+   * Returns whether another server can accept a request without a load. Otherwise the request stays
+   * with its silent server, which may still respond.
+   */
+  private boolean acceptedElsewhere(DispatchState state, ActiveRequest active, MonotonicTime time) {
     if (!mayRetry(state, active, time)
         || verdict(state, active, time).decision() != Verdict.Decision.SEND) {
-      return Optional.empty();
+      return false;
     }
     DispatchState released = RequestCompletion.withoutAddedLoad(state, active);
     String silent = active.progress().instance().orElseThrow();
     ActiveRequest unassigned =
         active.with(
             active.progress().withAttemptEnded(active.progress().history().withExcluded(silent)));
-    DispatchEffect cancel =
-        new DispatchEffect.CancelAttempt(active.request(), active.progress().attempts(), "silent");
     return choice
         .choose(
             unassigned,
@@ -306,10 +320,7 @@
             candidates(released, unassigned, time),
             time)
         .filter(other -> other.loadRequirement() == Candidate.LoadRequirement.NONE)
-        .map(
-            other ->
-                Step.<DispatchState, DispatchEffect>of(released, cancel)
-                    .andThen(before -> send(before, unassigned, other, time)));
+        .isPresent();
   }
 
   private Step<DispatchState, DispatchEffect> expire(
--- /dev/null
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -0,0 +1,87 @@
+package org.parsleyhead.core.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.parsleyhead.core.dispatch.DispatchFixture.ADAPTER;
+import static org.parsleyhead.core.dispatch.DispatchFixture.only;
+import static org.parsleyhead.core.dispatch.DispatchFixture.work;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("An attempt at a silent server")
+class SilentAttemptTests {
+
+  private final DispatchFixture host = DispatchFixture.running();
+  private DispatchEffect.Send first;
+  private List<DispatchEffect> checked;
+
+  @BeforeEach
+  void checkForSilence() {
+    List<DispatchEffect> sent = host.receive("/chat/x", work(ADAPTER));
+    first = only(sent, DispatchEffect.Send.class);
+    DispatchEffect.WakeAfter check = only(sent, DispatchEffect.WakeAfter.class);
+    host.advance(check.delay());
+    checked = host.apply(new DispatchEvent.Wake(check.requestKey(), check.wakeNumber()));
+  }
+
+  private boolean sends(List<DispatchEffect> effects) {
+    return effects.stream().anyMatch(DispatchEffect.Send.class::isInstance);
+  }
+
+  @Test
+  @DisplayName("is not replaced before its connection is known to be closed")
+  void isWithdrawnFirst() {
+    DispatchEffect.WithdrawAttempt withdraw = only(checked, DispatchEffect.WithdrawAttempt.class);
+    assertEquals(1, withdraw.attempt());
+    assertTrue(!withdraw.answering() && !sends(checked));
+    DispatchEffect.Send second =
+        only(host.end(first, AttemptOutcome.WITHDRAWN, false), DispatchEffect.Send.class);
+    assertEquals(2, second.attempt());
+    assertNotEquals(first.instance(), second.instance());
+    assertEquals(Set.of(second.instance().identifier()), host.state().sentLoads().keySet());
+  }
+
+  @Nested
+  @DisplayName("whose first event crosses the check")
+  class WhoseFirstEventCrosses {
+
+    @Test
+    @DisplayName("goes on and ends as the only one, LOST at 14.891 s of issue 29")
+    void goesOn() {
+      assertEquals(
+          List.of(), host.apply(new DispatchEvent.ResponseStarted(first.request().key(), 1)));
+      assertTrue(!sends(checked));
+      assertEquals(
+          1,
+          only(host.end(first, AttemptOutcome.COMPLETED, true), DispatchEffect.Finished.class)
+              .attempts());
+      assertEquals(0, host.state().activeRequests());
+    }
+
+    @Test
+    @DisplayName("is checked no more for silence before the first event")
+    void isNotCheckedAgain() {
+      host.apply(new DispatchEvent.ResponseStarted(first.request().key(), 1));
+      DispatchEffect.WakeAfter wake = only(checked, DispatchEffect.WakeAfter.class);
+      host.advance(wake.delay());
+      List<DispatchEffect> effects =
+          host.apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber()));
+      assertEquals(1, effects.size());
+      only(effects, DispatchEffect.WakeAfter.class);
+    }
+  }
+
+  @Test
+  @DisplayName("whose whole response crosses the check is not sent again")
+  void isNotSentAgainOnceAnswered() {
+    List<DispatchEffect> effects = host.end(first, AttemptOutcome.COMPLETED, true);
+    assertTrue(!sends(checked) && !sends(effects));
+    assertEquals(0, host.state().activeRequests());
+  }
+}
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -135,6 +135,8 @@
           cancel.attempt(),
           "reason",
           cancel.reason());
+    } else if (effect instanceof DispatchEffect.WithdrawAttempt withdraw) {
+      upstreams.withdraw(withdraw);
     } else if (effect instanceof DispatchEffect.DeliverBufferedResponse deliver) {
       deliverBufferedResponse(deliver);
     } else if (effect instanceof DispatchEffect.Abort abort) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/StreamSilenceTimer.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/StreamSilenceTimer.java
@@ -39,6 +39,11 @@
     lastEventNanoseconds = System.nanoTime();
   }
 
+  /** Returns whether the stream is silent now; requires that the timer was started. */
+  boolean silent() {
+    return remainingNanoseconds() <= 0;
+  }
+
   /** Stops the timer; does nothing if it was not started. */
   void stop() {
     if (nextCheck != null) {
@@ -51,7 +56,7 @@
   }
 
   private void check() {
-    long remaining = lastEventNanoseconds + TIMEOUT.toNanos() - System.nanoTime();
+    long remaining = remainingNanoseconds();
     if (remaining > 0) {
       schedule(remaining);
       return;
@@ -59,4 +64,8 @@
     schedule(INTERVAL.toNanos());
     onSilence.run();
   }
+
+  private long remainingNanoseconds() {
+    return lastEventNanoseconds + TIMEOUT.toNanos() - System.nanoTime();
+  }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -119,6 +119,28 @@
     end(new AttemptResult(AttemptOutcome.NOT_SENT, 0, false, false, Optional.empty(), reason));
   }
 
+  /**
+   * Returns whether the server is silent: has sent no event yet or, if the attempt was known to
+   * have begun to answer, has sent none for some time.
+   */
+  boolean silent(boolean answering) {
+    return answering ? silenceTimer.silent() : !streamStarted;
+  }
+
+  /** Ends the attempt and closes the connection, since the server is silent. */
+  void withdraw(String reason) {
+    cancelled = true;
+    end(
+        new AttemptResult(
+            AttemptOutcome.WITHDRAWN,
+            0,
+            exchange.responseStarted(),
+            false,
+            Optional.empty(),
+            reason));
+    closeConnection();
+  }
+
   /** Closes the connection; nothing more is forwarded. */
   void cancel() {
     cancelled = true;
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -102,6 +102,22 @@
     }
   }
 
+  /**
+   * Ends an attempt whose server is silent. Does nothing if the server has answered meanwhile, or
+   * the attempt has ended, since the events that report this are on their way.
+   */
+  public void withdraw(DispatchEffect.WithdrawAttempt withdraw) {
+    UpstreamAttempt attempt = activeAttempts.get(withdraw.request().key());
+    if (attempt == null || attempt.attemptNumber() != withdraw.attempt()) {
+      return;
+    }
+    if (!attempt.silent(withdraw.answering())) {
+      attempt.log("send_kept", "reason", withdraw.reason());
+      return;
+    }
+    attempt.withdraw(withdraw.reason());
+  }
+
   private void connect(Instance instance, UpstreamAttempt attempt) {
     ChannelFuture connected =
         new Bootstrap()
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
@@ -20,6 +20,7 @@
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ServingRequest;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.gateway.callers.CallerListener;
@@ -38,6 +39,7 @@
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("test-sockets", true), NioIoHandler.newFactory());
   private final BlockingQueue<DispatchEvent> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<ServingRequest> requests = new LinkedBlockingQueue<>();
   private final UpstreamClient client;
   private final int port;
 
@@ -49,6 +51,7 @@
           @Override
           public boolean requestReceived(Exchange exchange) {
             client.send(send(exchange, serverPort), exchange);
+            requests.add(exchange.request());
             return true;
           }
 
@@ -101,6 +104,25 @@
     }
   }
 
+  /** Returns the next request that was sent; fails if there is none in time. */
+  ServingRequest nextRequest() throws InterruptedException {
+    ServingRequest request = requests.poll(20, TimeUnit.SECONDS);
+    if (request == null) {
+      throw new AssertionError("no request");
+    }
+    return request;
+  }
+
+  /** Withdraws the attempt at a request, and returns once that is done. */
+  void withdraw(ServingRequest request, boolean answering) throws Exception {
+    eventLoops
+        .submit(
+            () ->
+                client.withdraw(
+                    new DispatchEffect.WithdrawAttempt(request, 1, answering, "silent")))
+        .get(20, TimeUnit.SECONDS);
+  }
+
   /** Returns the bytes of responses that are buffered. */
   long bufferedBytes() throws Exception {
     return eventLoops.submit(client::bufferedBytes).get(20, TimeUnit.SECONDS);
