Let a started stream wait for a server that can resume it

Cause: when the attempt of a started stream ended, the request was dispatched once, and whatever could not take it at that instant ended it: no retry left in the budget, no other server, an adapter that has to be loaded first, a second server that answers 421 or has no room. A refusal is right for a request of which the caller has nothing, since the caller comes back; for a stream that has started it is the loss of the answer.

Change: RequestCompletion.fail, through which every such end passes, lets a started stream wait and dispatches it again each 100 ms while it may be sent again (attempts and possible runs of the route, 4 sends), its service is in the catalogue and its time has not passed. The budget is asked each time, so no more is sent than it allows. A server that failed before is tried again only if there is no other. The first refusal to wait is logged (resumption_delayed) with its reason and the time left.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -36,6 +36,9 @@
     List<Long> prefixHashes,
     Progress progress) {
 
+  /** Attempts per request, including those that are known not to have run. */
+  private static final int MAXIMUM_ATTEMPTS = 4;
+
   ActiveRequest with(Progress next) {
     return new ActiveRequest(
         request,
@@ -63,4 +66,10 @@
   boolean mayRunAgain() {
     return route.kind().repeatable() && progress.possibleRuns() < route.attempts();
   }
+
+  /** Returns whether one more attempt is allowed, whatever the retry budget. */
+  boolean mayBeSentAgain() {
+    boolean runAllowed = progress.possibleRuns() == 0 || mayRunAgain();
+    return runAllowed && progress.attempts() < MAXIMUM_ATTEMPTS;
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -68,6 +68,16 @@
   record WithdrawAttempt(ServingRequest request, int attempt, boolean answering, String reason)
       implements DispatchEffect {}
 
+  /**
+   * Reports that a stream that has started waits for an instance that can resume it.
+   *
+   * @param request the request
+   * @param code why no instance can resume it now
+   * @param timeLeft the time until the deadline of the request
+   */
+  record ResumptionDelayed(ServingRequest request, DispatchRefusal.Code code, Duration timeLeft)
+      implements DispatchEffect {}
+
   /** Asks the owner of an instance to order the load of an adapter. */
   record RequestLoad(String instance, AdapterKey adapter, String identifier)
       implements DispatchEffect {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -18,8 +18,8 @@
   private RequestCompletion() {}
 
   /**
-   * Fails a request that cannot be retried: aborts a response that has started, and otherwise
-   * refuses the request with a code that is true for it.
+   * Fails a request that cannot be retried now: refuses it with a code that is true for it. A
+   * response that has started waits if it may still be resumed, and is aborted otherwise.
    *
    * @param code the code of the refusal if the request has not run
    * @param retryAfter when the caller should retry if the request has not run
@@ -30,7 +30,8 @@
       DispatchRefusal.Code code,
       Duration retryAfter,
       MonotonicTime time) {
-    return end(state, active, code, retryAfter, inputs(active, time));
+    return StreamResumption.await(state, active, code, time)
+        .orElseGet(() -> end(state, active, code, retryAfter, inputs(active, time)));
   }
 
   /** Refuses a request because of a trait, and logs which one. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -28,9 +28,6 @@
   /** Expected delay until a server has free capacity; most requests take about as long. */
   private static final Duration EXPECTED_CAPACITY_DELAY = Duration.ofMillis(150);
 
-  /** Attempts per request, including those that are known not to have run. */
-  private static final int MAXIMUM_ATTEMPTS = 4;
-
   private final DispatchSettings settings;
   private final InstanceChoice choice;
   private final AdapterLoads loads;
@@ -124,11 +121,7 @@
   }
 
   private boolean mayRetry(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    Progress progress = active.progress();
-    boolean runAllowed = progress.possibleRuns() == 0 || active.mayRunAgain();
-    return runAllowed
-        && progress.attempts() < MAXIMUM_ATTEMPTS
-        && state.budget(settings, active.service(), time).allows();
+    return active.mayBeSentAgain() && state.budget(settings, active.service(), time).allows();
   }
 
   private List<InstanceView> candidates(
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -130,6 +130,22 @@
     now = now.plus(duration);
   }
 
+  MonotonicTime now() {
+    return now;
+  }
+
+  /** Takes away all retries that are left at a service. */
+  void exhaustBudget(String service) {
+    state = state.withBudget(service, RetryBudget.fresh(now));
+  }
+
+  /** Waits for a wake event that is among the effects, and returns what follows from it. */
+  List<DispatchEffect> wake(List<DispatchEffect> effects) {
+    DispatchEffect.WakeAfter wake = only(effects, DispatchEffect.WakeAfter.class);
+    advance(wake.delay());
+    return apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber()));
+  }
+
   DispatchState state() {
     return state;
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -137,6 +137,15 @@
           cancel.reason());
     } else if (effect instanceof DispatchEffect.WithdrawAttempt withdraw) {
       upstreams.withdraw(withdraw);
+    } else if (effect instanceof DispatchEffect.ResumptionDelayed delayed) {
+      LOG.request(
+          "resumption_delayed",
+          "request",
+          delayed.request().identifier(),
+          "code",
+          delayed.code(),
+          "time_left_ms",
+          delayed.timeLeft().toMillis());
     } else if (effect instanceof DispatchEffect.DeliverBufferedResponse deliver) {
       deliverBufferedResponse(deliver);
     } else if (effect instanceof DispatchEffect.Abort abort) {
