Check each attempt of a resumed stream for silence

Callers of a stream that was resumed at a server that stays silent waited until they left (after a gap of 2 s or more) or until the deadline.

Cause: the check asked whether any part of the response had reached the caller, which holds for the whole request; it is meant for the current attempt. The second attempt of a started stream was therefore not checked before its first event, and StreamSilenceTimer starts with that event.

Evidence: DispatchFixture, a route with three attempts: the wake after the second send returned only the next wake, 4.1 s later, at the deadline.

Change: the check asks whether the current attempt has begun to answer. Leaving is bound to the attempts of the route and the budget as before.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -239,7 +239,7 @@
     if (active.expired(time)) {
       return expire(state, active, time);
     }
-    boolean silent = !active.progress().responseStarted();
+    boolean silent = !active.progress().assignment().answering();
     if (!silent || !active.mayRunAgain()) {
       return RequestWakes.schedule(
           state, active.with(active.progress().withNextWake()), active.deadline().since(time));
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -76,6 +76,7 @@
             route("read", "/read/", RequestKind.IDEMPOTENT, "plain", 2),
             route("book", "/book/", RequestKind.NON_IDEMPOTENT, "plain", 1),
             route("chat", "/chat/", RequestKind.RESUMABLE_STREAM, "engine", 2),
+            route("talk", "/talk/", RequestKind.RESUMABLE_STREAM, "engine", 3),
             route("audit", "/audit/", RequestKind.STREAM, "engine", 1)),
         List.of(
             new ServiceDefinition("plain", 10, Optional.empty()),
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -77,6 +77,19 @@
     }
   }
 
+  @Test
+  @DisplayName("is left although an earlier server has begun the response")
+  void isLeftWhenResuming() {
+    DispatchEffect.Send send = host.send("/talk/x", work(ADAPTER));
+    host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+    host.announce(DispatchFixture.engine("e3"));
+    List<DispatchEffect> resumed = host.end(send, AttemptOutcome.BROKEN, true);
+    DispatchEffect.WithdrawAttempt withdraw =
+        only(host.wake(resumed), DispatchEffect.WithdrawAttempt.class);
+    assertEquals(2, withdraw.attempt());
+    assertTrue(!withdraw.answering());
+  }
+
   @Test
   @DisplayName("whose whole response crosses the check is not sent again")
   void isNotSentAgainOnceAnswered() {
