Take back by quarantine only what no server has begun to answer

Cause: QuarantineHandler cancelled the attempt and refused the request in one step, by what the dispatch duty knew. The first event could have reached the caller already.

Evidence: on the sources before, QuarantineNews returned CancelAttempt and Refuse together; ResponseStarted behind them was ignored (QuarantineDispatchTests.keepsWhatIsAnswered failed).

Change: the attempt is withdrawn, which the event loop does only if nothing of the answer has reached the caller; the request is refused when that is reported.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -41,7 +41,7 @@
     this.settings = Preconditions.requireNonNull(settings, "settings");
     this.dispatcher = new RequestDispatcher(settings, new LeastExpectedTime(settings));
     this.admission = new Admission(settings, dispatcher);
-    this.quarantine = new QuarantineHandler(dispatcher);
+    this.quarantine = new QuarantineHandler();
     this.attemptEvents = new AttemptEventHandler(dispatcher, quarantine);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
@@ -30,12 +30,6 @@
   /** Evidence is repeated this long, once per tick, in case a message is lost. */
   private static final Duration REPETITION_TIME = Duration.ofSeconds(4);
 
-  private final RequestDispatcher dispatcher;
-
-  QuarantineHandler(RequestDispatcher dispatcher) {
-    this.dispatcher = dispatcher;
-  }
-
   /** Returns the traits that a request has in common with others. */
   static List<Trait> traits(ServingRequest request) {
     List<Trait> traits = new ArrayList<>();
@@ -153,12 +147,12 @@
         }
       }
     }
-    return new Step<>(updated, effects).andThen(current -> takeBack(current, restricted, time));
+    return new Step<>(updated, effects).andThen(current -> takeBack(current, restricted));
   }
 
   /** Takes back the requests with a trait that no server has begun to answer yet. */
-  private Step<DispatchState, DispatchEffect> takeBack(
-      DispatchState state, Set<Trait> restricted, MonotonicTime time) {
+  private static Step<DispatchState, DispatchEffect> takeBack(
+      DispatchState state, Set<Trait> restricted) {
     Step<DispatchState, DispatchEffect> step = Step.of(state);
     if (restricted.isEmpty()) {
       return step;
@@ -167,23 +161,12 @@
       boolean unanswered =
           active.progress().phase() == Phase.SENT && !active.progress().assignment().answering();
       if (unanswered && traits(active.request()).stream().anyMatch(restricted::contains)) {
-        step = step.andThen(next -> takeBack(next, active, time));
+        step = step.andThen(next -> RequestDispatcher.withdraw(next, active, "quarantine"));
       }
     }
     return step;
   }
 
-  private Step<DispatchState, DispatchEffect> takeBack(
-      DispatchState state, ActiveRequest active, MonotonicTime time) {
-    Progress progress = active.progress();
-    DispatchState released = RequestCompletion.withoutAddedLoad(state, active);
-    ActiveRequest unassigned = active.with(progress.withAttemptEnded(progress.history()));
-    DispatchEffect cancel =
-        new DispatchEffect.CancelAttempt(active.request(), progress.attempts(), "quarantine");
-    return Step.<DispatchState, DispatchEffect>of(released, cancel)
-        .andThen(next -> dispatcher.dispatch(next, unassigned, time));
-  }
-
   private static Optional<Long> serverRun(DispatchState state, ActiveRequest active) {
     return active
         .progress()
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -283,7 +283,7 @@
    * Cancels an attempt unless its server has sent something that this duty does not know of yet.
    * The request is dispatched again once the end of the attempt is reported.
    */
-  private static Step<DispatchState, DispatchEffect> withdraw(
+  static Step<DispatchState, DispatchEffect> withdraw(
       DispatchState state, ActiveRequest active, String reason) {
     Progress progress = active.progress();
     return Step.of(
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/QuarantineDispatchTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/QuarantineDispatchTests.java
@@ -92,10 +92,29 @@
     DispatchEffect.Send send = fixture.send("/chat/x", work(DEADLY_PART));
     List<DispatchEffect> effects =
         fixture.apply(new DispatchEvent.QuarantineNews("other", tell.reports()));
-    DispatchEffect.CancelAttempt cancel =
-        DispatchFixture.only(effects, DispatchEffect.CancelAttempt.class);
-    assertEquals(send.request(), cancel.request());
-    DispatchFixture.only(effects, DispatchEffect.Refuse.class);
+    DispatchEffect.WithdrawAttempt withdraw =
+        DispatchFixture.only(effects, DispatchEffect.WithdrawAttempt.class);
+    assertEquals(send.request(), withdraw.request());
+    DispatchFixture.only(
+        fixture.end(send, AttemptOutcome.WITHDRAWN, false), DispatchEffect.Refuse.class);
+  }
+
+  @Test
+  @DisplayName("does not refuse a request whose first event crosses the news of another host")
+  void keepsWhatIsAnswered() {
+    answerSound();
+    DispatchFixture other = DispatchFixture.running();
+    List<DispatchEffect> lost =
+        other.lose(other.send("/chat/x", work(DEADLY_PART)), ResponseStage.HEAD);
+    DispatchEffect.TellQuarantine tell =
+        DispatchFixture.only(lost, DispatchEffect.TellQuarantine.class);
+    DispatchEffect.Send send = fixture.send("/chat/x", work(DEADLY_PART));
+    List<DispatchEffect> effects =
+        fixture.apply(new DispatchEvent.QuarantineNews("other", tell.reports()));
+    assertTrue(effects.stream().noneMatch(DispatchEffect.Refuse.class::isInstance));
+    fixture.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+    DispatchFixture.only(
+        fixture.end(send, AttemptOutcome.COMPLETED, true), DispatchEffect.Finished.class);
   }
 
   @Test
