Split the events of a streamed response from its attempt

EventStream splits, forwards and times the events of one attempt; UpstreamClient, which reports each end, builds the result of a withdrawn attempt. No change in behaviour.

Tests: WithdrawnAttemptTests, UpstreamClientTests, RepeatedSendTests, 29, no failure.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -1,6 +1,5 @@
 package org.parsleyhead.gateway.upstreams;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -38,9 +37,6 @@
   /** Applies to connections whose server announces no keep-alive timeout. */
   private static final Duration DEFAULT_KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(3);
 
-  /** The maximum size of one event of a stream. */
-  private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
-
   private final DispatchEffect.Send send;
   private final Exchange exchange;
   private final HttpDialect dialect;
@@ -48,9 +44,8 @@
   private final IdleConnectionPool idlePool;
   private final ResponseMemory responseMemory;
   private final BiConsumer<UpstreamAttempt, AttemptResult> onEnd;
-  private final ServerSentEventSplitter events = new ServerSentEventSplitter();
+  private final EventStream stream = new EventStream(this::reportSilence);
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
-  private final StreamSilenceTimer silenceTimer = new StreamSilenceTimer(this::reportSilence);
   private UpstreamConnection connection;
   private HttpResponse response;
   private ResponseHead responseHead;
@@ -59,7 +54,6 @@
   private boolean connectionFailed;
   private boolean cancelled;
   private boolean ended;
-  private boolean streamStarted;
   private boolean reusable = true;
   private boolean reusedConnection;
 
@@ -124,21 +118,7 @@
    * have begun to answer, has sent none for some time.
    */
   boolean silent(boolean answering) {
-    return answering ? silenceTimer.silent() : !streamStarted;
-  }
-
-  /** Ends the attempt and closes the connection, since the server is silent. */
-  void withdraw(String reason) {
-    cancelled = true;
-    end(
-        new AttemptResult(
-            AttemptOutcome.WITHDRAWN,
-            0,
-            exchange.responseStarted(),
-            false,
-            Optional.empty(),
-            reason));
-    closeConnection();
+    return answering ? stream.silent() : !stream.started();
   }
 
   /** Closes the connection; nothing more is forwarded. */
@@ -289,30 +269,22 @@
   }
 
   private void forwardEvents(byte[] bytes) {
-    byte[] complete = events.split(bytes);
-    if (events.pendingBytes() > MAXIMUM_EVENT_BYTES) {
+    byte[] complete = stream.receive(bytes);
+    if (stream.eventTooLarge()) {
       endBroken("event_too_large");
       return;
     }
-    reserveMemory(events.pendingBytes());
+    reserveMemory(stream.pendingBytes());
     if (ended || complete.length == 0) {
       return;
     }
-    silenceTimer.eventReceived();
-    if (!streamStarted) {
-      streamStarted = true;
+    Channel upstream = connection.channel();
+    if (!stream.started()) {
       listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
       log("first_event");
-      if (send.repeatable()) {
-        silenceTimer.start(connection.channel().eventLoop());
-      }
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
-    exchange.writeEvents(Unpooled.wrappedBuffer(complete), events.lastIdentifier());
-    Channel upstream = connection.channel();
-    if (!exchange.checkWritable(() -> upstream.config().setAutoRead(true))) {
-      upstream.config().setAutoRead(false);
-    }
+    stream.forward(complete, exchange, upstream, send.repeatable());
   }
 
   private void responseComplete() {
@@ -331,11 +303,11 @@
       end(result(AttemptOutcome.COMPLETED, "answered"));
       return;
     }
-    if (events.pendingBytes() > 0) {
+    if (stream.pendingBytes() > 0) {
       endLost("event_cut_off");
       return;
     }
-    if (!streamStarted && !MessageHeads.framed(response)) {
+    if (!stream.started() && !MessageHeads.framed(response)) {
       endLost("stream_without_event");
       return;
     }
@@ -363,7 +335,7 @@
   /** Ends the attempt because its connection is lost. */
   private void endLost(String reason) {
     ResponseStage received = response == null ? ResponseStage.NONE : ResponseStage.HEAD;
-    boolean content = streamStarted || bufferedBody.size() > 0;
+    boolean content = stream.started() || bufferedBody.size() > 0;
     breakOff(Optional.of(content ? ResponseStage.CONTENT : received), reason);
   }
 
@@ -373,7 +345,7 @@
         new AttemptResult(
             AttemptOutcome.BROKEN,
             response == null ? 0 : response.status().code(),
-            streamStarted || exchange.responseStarted(),
+            stream.started() || exchange.responseStarted(),
             false,
             lostAt,
             reason));
@@ -390,7 +362,7 @@
     return new AttemptResult(
         outcome,
         response.status().code(),
-        streamStarted || exchange.responseStarted(),
+        stream.started() || exchange.responseStarted(),
         outcome != AttemptOutcome.COMPLETED,
         Optional.empty(),
         reason);
@@ -411,6 +383,6 @@
 
   private void releaseResources() {
     responseMemory.update(this, 0);
-    silenceTimer.stop();
+    stream.stop();
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -115,7 +115,16 @@
       attempt.log("send_kept", "reason", withdraw.reason());
       return;
     }
-    attempt.withdraw(withdraw.reason());
+    attempt.cancel();
+    attemptEnded(
+        attempt,
+        new AttemptResult(
+            AttemptOutcome.WITHDRAWN,
+            0,
+            withdraw.answering(),
+            false,
+            Optional.empty(),
+            withdraw.reason()));
   }
 
   private void connect(Instance instance, UpstreamAttempt attempt) {
