Log a response that had begun and is ended as broken off

A response that had begun and could not be completed was logged as refused (with a status that the caller never saw) or as failure_delivered, if the dispatch duty did not know yet that it had begun, and broken_off told neither the attempts nor the time left.

The event loop now logs broken_off with the reason and the inputs whenever the head has been sent, and inputs hold left_ms. Callers see no difference: the connection was closed before, too. No test of its own; the metric of aborted responses now counts these cases.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -49,7 +49,7 @@
   record DeliverBufferedResponse(ServingRequest request, int status) implements DispatchEffect {}
 
   /** Aborts a response that has started and cannot be completed. */
-  record Abort(ServingRequest request, String reason) implements DispatchEffect {}
+  record Abort(ServingRequest request, String reason, String inputs) implements DispatchEffect {}
 
   /** Cancels an attempt; no further part of its response may reach the caller. */
   record CancelAttempt(ServingRequest request, int attempt, String reason)
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
@@ -52,14 +52,13 @@
                 effects.add(
                     new DispatchEffect.CancelAttempt(
                         request, progress.attempts(), "internal_error")));
+    String inputs = "event=" + event.getClass().getSimpleName();
     boolean started = active.map(known -> known.progress().responseStarted()).orElse(false);
     effects.add(
         started
-            ? new DispatchEffect.Abort(request, DispatchRefusal.Code.INTERNAL_ERROR.name())
+            ? new DispatchEffect.Abort(request, DispatchRefusal.Code.INTERNAL_ERROR.name(), inputs)
             : new DispatchEffect.Refuse(
-                request,
-                DispatchRefusal.of(DispatchRefusal.Code.INTERNAL_ERROR),
-                "event=" + event.getClass().getSimpleName()));
+                request, DispatchRefusal.of(DispatchRefusal.Code.INTERNAL_ERROR), inputs));
     DispatchState next =
         active.map(known -> RequestCompletion.release(state, known, false)).orElse(state);
     return new Step<>(next.withStartup(next.startup().without(request.key())), effects);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -54,7 +54,7 @@
     boolean mayHaveRun = active.progress().possibleRuns() > 0;
     DispatchState next = release(state, active, !mayHaveRun);
     if (active.progress().responseStarted()) {
-      return Step.of(next, new DispatchEffect.Abort(active.request(), code.name()));
+      return Step.of(next, new DispatchEffect.Abort(active.request(), code.name(), inputs));
     }
     DispatchRefusal refusal =
         mayHaveRun
@@ -108,6 +108,8 @@
         + " account="
         + active.account().map(AccountLimits::name).map(ClientAccountName::text).orElse("none")
         + " elapsed_ms="
-        + time.since(active.receivedAt()).toMillis();
+        + time.since(active.receivedAt()).toMillis()
+        + " left_ms="
+        + active.deadline().since(time).toMillis();
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -11,6 +11,7 @@
 import org.parsleyhead.core.dispatch.DispatchEvent;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
 import org.parsleyhead.core.dispatch.ModelWork;
+import org.parsleyhead.core.dispatch.ServingRequest;
 import org.parsleyhead.core.fleet.FleetEvent;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.callers.CallerListener;
@@ -149,9 +150,7 @@
     } else if (effect instanceof DispatchEffect.DeliverBufferedResponse deliver) {
       deliverBufferedResponse(deliver);
     } else if (effect instanceof DispatchEffect.Abort abort) {
-      removeExchange(abort.request().key()).ifPresent(Exchange::abort);
-      LOG.request("broken_off", "request", abort.request().identifier(), "reason", abort.reason());
-      metrics.responseAborted();
+      breakOff(abort.request(), abort.reason(), abort.inputs());
     } else if (effect instanceof DispatchEffect.EventFailed failed) {
       metrics.dutyFailed("dispatch");
       LOG.failure(
@@ -201,6 +200,11 @@
 
   private void refuse(DispatchEffect.Refuse refuse) {
     DispatchRefusal refusal = refuse.refusal();
+    Exchange known = exchanges.get(refuse.request().key());
+    if (known != null && known.responseStarted()) {
+      breakOff(refuse.request(), refusal.code().name(), refuse.inputs());
+      return;
+    }
     LOG.request(
         "refused",
         "request",
@@ -222,12 +226,24 @@
   }
 
   private void deliverBufferedResponse(DispatchEffect.DeliverBufferedResponse deliver) {
+    Exchange known = exchanges.get(deliver.request().key());
+    if (known != null && known.responseStarted()) {
+      breakOff(deliver.request(), DispatchRefusal.Code.UPSTREAM_FAILED.name(), "");
+      return;
+    }
     LOG.request(
         "failure_delivered", "request", deliver.request().identifier(), "status", deliver.status());
     metrics.failureDelivered();
     removeExchange(deliver.request().key()).ifPresent(Exchange::deliverBufferedResponse);
   }
 
+  /** Closes the connection to a caller whose response has started and cannot be completed. */
+  private void breakOff(ServingRequest request, String reason, String inputs) {
+    removeExchange(request.key()).ifPresent(Exchange::abort);
+    LOG.request("broken_off", "request", request.identifier(), "reason", reason, "inputs", inputs);
+    metrics.responseAborted();
+  }
+
   private Optional<Exchange> removeExchange(long key) {
     return Optional.ofNullable(exchanges.remove(key));
   }
