Charge the retry when a silent server is left

Callers of a server that fell silent with several streams could lose their place there for nothing: all of its streams were withdrawn on the strength of the same retry, and all but one of them then waited for the budget. The fault came with the withdrawal in two steps.

Change: the retry is charged with the withdrawal, reserved in the history of the request, and used by its next send. An attempt that goes on is reported as kept, and one that ends otherwise by itself; both return the retry.

Test: SilentAttemptTests.reservesRetry fails without the charge (1 of 7) and passes with it; returnsRetry checks the way back. 71 tests of seven classes of dispatch pass.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -72,4 +72,13 @@
     boolean runAllowed = progress.possibleRuns() == 0 || mayRunAgain();
     return runAllowed && progress.attempts() < MAXIMUM_ATTEMPTS;
   }
+
+  /**
+   * Returns the effect that withdraws the current attempt unless its server has sent something that
+   * this duty does not know of yet. The end of the attempt dispatches the request again.
+   */
+  DispatchEffect withdrawal(String reason) {
+    return new DispatchEffect.WithdrawAttempt(
+        request, progress.attempts(), progress.assignment().answering(), reason);
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -55,6 +55,14 @@
     return dispatcher.leaveSilentServer(state, active, time);
   }
 
+  DispatchState onAttemptKept(
+      DispatchState state, DispatchEvent.AttemptKept kept, MonotonicTime time) {
+    ActiveRequest active = state.requests().get(kept.requestKey());
+    return active == null || active.progress().attempts() != kept.attempt()
+        ? state
+        : dispatcher.retries().refund(state, active, time);
+  }
+
   Step<DispatchState, DispatchEffect> onAttemptEnded(
       DispatchState state, DispatchEvent.AttemptEnded ended, MonotonicTime time) {
     ActiveRequest active = state.requests().get(ended.requestKey());
@@ -63,7 +71,16 @@
         || active.progress().attempts() != ended.attempt()) {
       return Step.of(state);
     }
-    AttemptResult result = ended.result();
+    if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
+      return onCurrentAttemptEnded(state, active, ended.result(), time);
+    }
+    DispatchState returned = dispatcher.retries().refund(state, active, time);
+    return onCurrentAttemptEnded(
+        returned, returned.requests().get(active.key()), ended.result(), time);
+  }
+
+  private Step<DispatchState, DispatchEffect> onCurrentAttemptEnded(
+      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     DispatchState updated =
         withOutcome(RequestCompletion.withoutAddedLoad(state, active), active, result, time);
     if (result.outcome() == AttemptOutcome.COMPLETED) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -57,8 +57,8 @@
 
   /**
    * Cancels an attempt whose instance is silent, and reports its end as {@link
-   * AttemptOutcome#WITHDRAWN}. Does nothing if the instance has sent events meanwhile or the
-   * attempt has ended, which its own events report.
+   * AttemptOutcome#WITHDRAWN}. If the instance has sent events meanwhile, the attempt is reported
+   * as kept. Does nothing if it has ended, which is reported by itself.
    *
    * @param request the request
    * @param attempt the number of the attempt
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -27,6 +27,9 @@
    */
   record StreamSilent(long requestKey, int attempt) implements DispatchEvent {}
 
+  /** An attempt that was to be withdrawn goes on, since its instance was not silent any more. */
+  record AttemptKept(long requestKey, int attempt) implements DispatchEvent {}
+
   /** An attempt at an instance ended. */
   record AttemptEnded(long requestKey, int attempt, AttemptResult result)
       implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -57,6 +57,9 @@
     if (event instanceof DispatchEvent.StreamSilent silent) {
       return attemptEvents.onStreamSilent(state, silent, time);
     }
+    if (event instanceof DispatchEvent.AttemptKept kept) {
+      return Step.of(attemptEvents.onAttemptKept(state, kept, time));
+    }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return attemptEvents.onAttemptEnded(state, ended, time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
@@ -83,6 +83,9 @@
     if (event instanceof DispatchEvent.StreamSilent silent) {
       return Optional.of(silent.requestKey());
     }
+    if (event instanceof DispatchEvent.AttemptKept kept) {
+      return Optional.of(kept.requestKey());
+    }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return Optional.of(ended.requestKey());
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -137,4 +137,15 @@
     return new Progress(
         assignment, history, responseStarted, ownerExpectedAt, loadRequests, wakeNumber + 1);
   }
+
+  /** Returns this progress with or without a retry that was charged for the next attempt. */
+  Progress withRetryReserved(boolean reserved) {
+    return new Progress(
+        assignment,
+        history.withRetryReserved(reserved),
+        responseStarted,
+        ownerExpectedAt,
+        loadRequests,
+        wakeNumber);
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
@@ -161,7 +161,7 @@
       boolean unanswered =
           active.progress().phase() == Phase.SENT && !active.progress().assignment().answering();
       if (unanswered && traits(active.request()).stream().anyMatch(restricted::contains)) {
-        step = step.andThen(next -> RequestDispatcher.withdraw(next, active, "quarantine"));
+        step = step.andThen(next -> Step.of(next, active.withdrawal("quarantine")));
       }
     }
     return step;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -31,11 +31,13 @@
   private final DispatchSettings settings;
   private final InstanceChoice choice;
   private final AdapterLoads loads;
+  private final RequestRetries retries;
 
   RequestDispatcher(DispatchSettings settings, InstanceChoice choice) {
     this.settings = settings;
     this.choice = choice;
     this.loads = new AdapterLoads(settings, this::dispatch);
+    this.retries = new RequestRetries(settings);
   }
 
   Step<DispatchState, DispatchEffect> dispatch(
@@ -44,7 +46,7 @@
       return expire(state, active, time);
     }
     boolean retry = active.progress().attempts() > 0;
-    if (retry && !mayRetry(state, active, time)) {
+    if (retry && !retries.allows(state, active, time)) {
       return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
     }
     Verdict verdict = verdict(state, active, time);
@@ -112,6 +114,11 @@
     return loads;
   }
 
+  /** Returns the accounting of retries. */
+  RequestRetries retries() {
+    return retries;
+  }
+
   /** Fails a request that cannot be retried now, with a Retry-After if it has not run. */
   Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
@@ -120,10 +127,6 @@
     return RequestCompletion.fail(state, active, code, retryAfter, time);
   }
 
-  private boolean mayRetry(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    return active.mayBeSentAgain() && state.budget(settings, active.service(), time).allows();
-  }
-
   private List<InstanceView> candidates(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     Collection<InstanceView> all = state.instances().ofService(active.service());
@@ -176,8 +179,7 @@
     }
     DispatchState next = state.withInstances(state.instances().with(updated));
     if (active.progress().attempts() > 0) {
-      next =
-          next.withBudget(active.service(), next.budget(settings, active.service(), time).spend());
+      next = retries.charge(next, active, time);
     }
     ActiveRequest sent = active.with(progress);
     DispatchEffect send =
@@ -245,16 +247,16 @@
           state, active.with(active.progress().withNextWake()), active.deadline().since(time));
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
-    Step<DispatchState, DispatchEffect> next =
-        acceptedElsewhere(penalized, active, time)
-            ? withdraw(penalized, active, "silent")
-            : Step.of(penalized);
-    return next.andThen(
-        before ->
-            RequestWakes.schedule(
-                before,
-                active.with(active.progress().withNextWake()),
-                RequestTimeouts.nextSilenceCheckDelay(active, time)));
+    ActiveRequest waking = active.with(active.progress().withNextWake());
+    return (acceptedElsewhere(penalized, active, time)
+            ? leave(penalized, waking, time)
+            : Step.<DispatchState, DispatchEffect>of(penalized.withRequest(waking)))
+        .andThen(
+            before ->
+                RequestWakes.schedule(
+                    before,
+                    before.requests().get(active.key()),
+                    RequestTimeouts.nextSilenceCheckDelay(active, time)));
   }
 
   /** Leaves a server whose stream has become silent if another one can accept it at once. */
@@ -265,10 +267,18 @@
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
     return acceptedElsewhere(penalized, active, time)
-        ? withdraw(penalized, active, "silent")
+        ? leave(penalized, active, time)
         : Step.of(state);
   }
 
+  /** Withdraws an attempt, with a retry in reserve for the next one. */
+  private Step<DispatchState, DispatchEffect> leave(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    ActiveRequest leaving = active.with(active.progress().withRetryReserved(true));
+    DispatchState charged = retries.charge(state, active, time);
+    return Step.of(charged.withRequest(leaving), leaving.withdrawal("silent"));
+  }
+
   private static DispatchState withSilentAttempt(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     return state.withInstances(
@@ -279,25 +289,12 @@
                 view -> view.withHealth(view.health().failed(time, true))));
   }
 
-  /**
-   * Cancels an attempt unless its server has sent something that this duty does not know of yet.
-   * The request is dispatched again once the end of the attempt is reported.
-   */
-  static Step<DispatchState, DispatchEffect> withdraw(
-      DispatchState state, ActiveRequest active, String reason) {
-    Progress progress = active.progress();
-    return Step.of(
-        state,
-        new DispatchEffect.WithdrawAttempt(
-            active.request(), progress.attempts(), progress.assignment().answering(), reason));
-  }
-
   /**
    * Returns whether another server can accept a request without a load. Otherwise the request stays
    * with its silent server, which may still respond.
    */
   private boolean acceptedElsewhere(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    if (!mayRetry(state, active, time)
+    if (!retries.allows(state, active, time)
         || verdict(state, active, time).decision() != Verdict.Decision.SEND) {
       return false;
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RetryBudget.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RetryBudget.java
@@ -61,6 +61,11 @@
     return new RetryBudget(level - 1, updatedAt);
   }
 
+  /** Returns a retry that was not made; what exceeds the maximum is lost with the next advance. */
+  RetryBudget refund() {
+    return new RetryBudget(level + 1, updatedAt);
+  }
+
   private static double maximumSaved(DispatchSettings settings, int hosts) {
     return Math.max(MINIMUM_SAVED, settings.retryBurst() * SAVED_FRACTION / Math.max(1, hosts));
   }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -71,27 +71,28 @@
 
   static ServiceCatalogue catalogue(long version, double rate) {
     return new ServiceCatalogue(
-        version,
-        List.of(
-            route("read", "/read/", RequestKind.IDEMPOTENT, "plain", 2),
-            route("book", "/book/", RequestKind.NON_IDEMPOTENT, "plain", 1),
-            route("chat", "/chat/", RequestKind.RESUMABLE_STREAM, "engine", 2),
-            route("talk", "/talk/", RequestKind.RESUMABLE_STREAM, "engine", 3),
-            route("audit", "/audit/", RequestKind.STREAM, "engine", 1)),
-        List.of(
-            new ServiceDefinition("plain", 10, Optional.empty()),
-            new ServiceDefinition(
-                "engine", 10, Optional.of(new EngineProfile(8, 100_000, 4, 100, List.of())))),
-        RequestLimits.INITIAL,
-        List.of(
-            new AccountLimits(
-                new ClientAccountName("account"),
-                Set.of(KEY),
-                OptionalInt.empty(),
-                true,
-                100,
-                rate,
-                rate)));
+        version, routes(), services(), RequestLimits.INITIAL, List.of(account(rate)));
+  }
+
+  static List<ServiceRoute> routes() {
+    return List.of(
+        route("read", "/read/", RequestKind.IDEMPOTENT, "plain", 2),
+        route("book", "/book/", RequestKind.NON_IDEMPOTENT, "plain", 1),
+        route("chat", "/chat/", RequestKind.RESUMABLE_STREAM, "engine", 2),
+        route("talk", "/talk/", RequestKind.RESUMABLE_STREAM, "engine", 3),
+        route("audit", "/audit/", RequestKind.STREAM, "engine", 1));
+  }
+
+  static List<ServiceDefinition> services() {
+    return List.of(
+        new ServiceDefinition("plain", 10, Optional.empty()),
+        new ServiceDefinition(
+            "engine", 10, Optional.of(new EngineProfile(8, 100_000, 4, 100, List.of()))));
+  }
+
+  static AccountLimits account(double rate) {
+    return new AccountLimits(
+        new ClientAccountName("account"), Set.of(KEY), OptionalInt.empty(), true, 100, rate, rate);
   }
 
   static Instance plain(String name) {
@@ -140,6 +141,11 @@
     state = state.withBudget(service, RetryBudget.fresh(now));
   }
 
+  /** Leaves one retry at a service. */
+  void leaveOneRetry(String service) {
+    state = state.withBudget(service, RetryBudget.fresh(now).refund());
+  }
+
   /** Waits for a wake event that is among the effects, and returns what follows from it. */
   List<DispatchEffect> wake(List<DispatchEffect> effects) {
     DispatchEffect.WakeAfter wake = only(effects, DispatchEffect.WakeAfter.class);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -47,6 +47,43 @@
     assertEquals(Set.of(second.instance().identifier()), host.state().sentLoads().keySet());
   }
 
+  @Test
+  @DisplayName("keeps the retry that it was withdrawn for, and another one stays with its server")
+  void reservesRetry() {
+    host.end(first, AttemptOutcome.WITHDRAWN, false);
+    DispatchEffect.Send one = started();
+    DispatchEffect.Send other = started();
+    host.leaveOneRetry("engine");
+    only(host.apply(silent(one)), DispatchEffect.WithdrawAttempt.class);
+    assertEquals(List.of(), host.apply(silent(other)));
+    only(host.end(one, AttemptOutcome.WITHDRAWN, true), DispatchEffect.Send.class);
+    assertEquals(List.of(), host.apply(silent(other)));
+  }
+
+  @Test
+  @DisplayName("returns the retry if it goes on")
+  void returnsRetry() {
+    host.end(first, AttemptOutcome.WITHDRAWN, false);
+    DispatchEffect.Send one = started();
+    DispatchEffect.Send other = started();
+    host.leaveOneRetry("engine");
+    only(host.apply(silent(one)), DispatchEffect.WithdrawAttempt.class);
+    host.apply(new DispatchEvent.AttemptKept(one.request().key(), 1));
+    only(host.apply(silent(other)), DispatchEffect.WithdrawAttempt.class);
+    host.end(other, AttemptOutcome.COMPLETED, true);
+    only(host.apply(silent(one)), DispatchEffect.WithdrawAttempt.class);
+  }
+
+  private DispatchEffect.Send started() {
+    DispatchEffect.Send send = host.send("/chat/x", work(ADAPTER));
+    host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
+    return send;
+  }
+
+  private static DispatchEvent silent(DispatchEffect.Send send) {
+    return new DispatchEvent.StreamSilent(send.request().key(), send.attempt());
+  }
+
   @Nested
   @DisplayName("whose first event crosses the check")
   class WhoseFirstEventCrosses {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -103,8 +103,8 @@
   }
 
   /**
-   * Ends an attempt whose server is silent. Does nothing if the server has answered meanwhile, or
-   * the attempt has ended, since the events that report this are on their way.
+   * Ends an attempt whose server is silent. Keeps it if the server has answered meanwhile. Does
+   * nothing if it has ended, since the event that reports this is on its way.
    */
   public void withdraw(DispatchEffect.WithdrawAttempt withdraw) {
     UpstreamAttempt attempt = activeAttempts.get(withdraw.request().key());
@@ -113,6 +113,8 @@
     }
     if (!attempt.silent(withdraw.answering())) {
       attempt.log("send_kept", "reason", withdraw.reason());
+      listener.accept(
+          new DispatchEvent.AttemptKept(attempt.requestKey(), attempt.attemptNumber()));
       return;
     }
     attempt.cancel();
