--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -52,7 +52,15 @@
         || active.progress().attempts() != silent.attempt()) {
       return Step.of(state);
     }
-    return dispatcher.leaveSilentServer(state, active, time).orElse(Step.of(state));
+    return dispatcher.leaveSilentServer(state, active, time);
+  }
+
+  DispatchState onAttemptKept(
+      DispatchState state, DispatchEvent.AttemptKept kept, MonotonicTime time) {
+    ActiveRequest active = state.requests().get(kept.requestKey());
+    return active == null || active.progress().attempts() != kept.attempt()
+        ? state
+        : dispatcher.retries().refund(state, active, time);
   }
 
   Step<DispatchState, DispatchEffect> onAttemptEnded(
@@ -63,7 +71,16 @@
         || active.progress().attempts() != ended.attempt()) {
       return Step.of(state);
     }
-    AttemptResult result = ended.result();
+    if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
+      return onCurrentAttemptEnded(state, active, ended.result(), time);
+    }
+    DispatchState returned = dispatcher.retries().refund(state, active, time);
+    return onCurrentAttemptEnded(
+        returned, returned.requests().get(active.key()), ended.result(), time);
+  }
+
+  private Step<DispatchState, DispatchEffect> onCurrentAttemptEnded(
+      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     DispatchState updated =
         withOutcome(RequestCompletion.withoutAddedLoad(state, active), active, result, time);
     if (result.outcome() == AttemptOutcome.COMPLETED) {
@@ -111,7 +128,7 @@
   private Step<DispatchState, DispatchEffect> continueAfter(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
-      case NOT_SENT, MISDIRECTED, NO_ROOM -> dispatcher.dispatch(state, active, time);
+      case NOT_SENT, MISDIRECTED, NO_ROOM, WITHDRAWN -> dispatcher.dispatch(state, active, time);
       case FAILED, BROKEN -> {
         if (active.mayRunAgain()) {
           Step<DispatchState, DispatchEffect> retry = dispatcher.dispatch(state, active, time);
@@ -174,7 +191,7 @@
       InstanceHealth health, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
       case COMPLETED -> health.succeeded(time);
-      case MISDIRECTED -> health;
+      case MISDIRECTED, WITHDRAWN -> health;
       case NO_ROOM, FAILED -> health.failed(time, false);
       case NOT_SENT, BROKEN ->
           health.failed(time, result.status() == 0 && !result.responseStarted());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -49,12 +49,35 @@
   record DeliverBufferedResponse(ServingRequest request, int status) implements DispatchEffect {}
 
   /** Aborts a response that has started and cannot be completed. */
-  record Abort(ServingRequest request, String reason) implements DispatchEffect {}
+  record Abort(ServingRequest request, String reason, String inputs) implements DispatchEffect {}
 
   /** Cancels an attempt; no further part of its response may reach the caller. */
   record CancelAttempt(ServingRequest request, int attempt, String reason)
       implements DispatchEffect {}
 
+  /**
+   * Cancels an attempt whose instance is silent, and reports its end as {@link
+   * AttemptOutcome#WITHDRAWN}. If the instance has sent events meanwhile, the attempt is reported
+   * as kept. Does nothing if it has ended, which is reported by itself.
+   *
+   * @param request the request
+   * @param attempt the number of the attempt
+   * @param answering whether the attempt was known to have begun to answer
+   * @param reason the reason, for the log
+   */
+  record WithdrawAttempt(ServingRequest request, int attempt, boolean answering, String reason)
+      implements DispatchEffect {}
+
+  /**
+   * Reports that a stream that has started waits for an instance that can resume it.
+   *
+   * @param request the request
+   * @param code why no instance can resume it now
+   * @param timeLeft the time until the deadline of the request
+   */
+  record ResumptionDelayed(ServingRequest request, DispatchRefusal.Code code, Duration timeLeft)
+      implements DispatchEffect {}
+
   /** Asks the owner of an instance to order the load of an adapter. */
   record RequestLoad(String instance, AdapterKey adapter, String identifier)
       implements DispatchEffect {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -41,7 +41,7 @@
     this.settings = Preconditions.requireNonNull(settings, "settings");
     this.dispatcher = new RequestDispatcher(settings, new LeastExpectedTime(settings));
     this.admission = new Admission(settings, dispatcher);
-    this.quarantine = new QuarantineHandler(dispatcher);
+    this.quarantine = new QuarantineHandler();
     this.attemptEvents = new AttemptEventHandler(dispatcher, quarantine);
   }
 
@@ -57,6 +57,9 @@
     if (event instanceof DispatchEvent.StreamSilent silent) {
       return attemptEvents.onStreamSilent(state, silent, time);
     }
+    if (event instanceof DispatchEvent.AttemptKept kept) {
+      return Step.of(attemptEvents.onAttemptKept(state, kept, time));
+    }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return attemptEvents.onAttemptEnded(state, ended, time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -28,17 +28,16 @@
   /** Expected delay until a server has free capacity; most requests take about as long. */
   private static final Duration EXPECTED_CAPACITY_DELAY = Duration.ofMillis(150);
 
-  /** Attempts per request, including those that are known not to have run. */
-  private static final int MAXIMUM_ATTEMPTS = 4;
-
   private final DispatchSettings settings;
   private final InstanceChoice choice;
   private final AdapterLoads loads;
+  private final RequestRetries retries;
 
   RequestDispatcher(DispatchSettings settings, InstanceChoice choice) {
     this.settings = settings;
     this.choice = choice;
     this.loads = new AdapterLoads(settings, this::dispatch);
+    this.retries = new RequestRetries(settings);
   }
 
   Step<DispatchState, DispatchEffect> dispatch(
@@ -47,7 +46,7 @@
       return expire(state, active, time);
     }
     boolean retry = active.progress().attempts() > 0;
-    if (retry && !mayRetry(state, active, time)) {
+    if (retry && !retries.allows(state, active, time)) {
       return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
     }
     Verdict verdict = verdict(state, active, time);
@@ -115,6 +114,11 @@
     return loads;
   }
 
+  /** Returns the accounting of retries. */
+  RequestRetries retries() {
+    return retries;
+  }
+
   /** Fails a request that cannot be retried now, with a Retry-After if it has not run. */
   Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
@@ -123,14 +127,6 @@
     return RequestCompletion.fail(state, active, code, retryAfter, time);
   }
 
-  private boolean mayRetry(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    Progress progress = active.progress();
-    boolean runAllowed = progress.possibleRuns() == 0 || active.mayRunAgain();
-    return runAllowed
-        && progress.attempts() < MAXIMUM_ATTEMPTS
-        && state.budget(settings, active.service(), time).allows();
-  }
-
   private List<InstanceView> candidates(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     Collection<InstanceView> all = state.instances().ofService(active.service());
@@ -183,8 +179,7 @@
     }
     DispatchState next = state.withInstances(state.instances().with(updated));
     if (active.progress().attempts() > 0) {
-      next =
-          next.withBudget(active.service(), next.budget(settings, active.service(), time).spend());
+      next = retries.charge(next, active, time);
     }
     ActiveRequest sent = active.with(progress);
     DispatchEffect send =
@@ -246,30 +241,42 @@
     if (active.expired(time)) {
       return expire(state, active, time);
     }
-    boolean silent = !active.progress().responseStarted();
+    boolean silent = !active.progress().assignment().answering();
     if (!silent || !active.mayRunAgain()) {
       return RequestWakes.schedule(
           state, active.with(active.progress().withNextWake()), active.deadline().since(time));
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
-    return redispatchSilent(penalized, active, time)
-        .orElseGet(
-            () ->
+    ActiveRequest waking = active.with(active.progress().withNextWake());
+    return (acceptedElsewhere(penalized, active, time)
+            ? leave(penalized, waking, time)
+            : Step.<DispatchState, DispatchEffect>of(penalized.withRequest(waking)))
+        .andThen(
+            before ->
                 RequestWakes.schedule(
-                    penalized,
-                    active.with(active.progress().withNextWake()),
+                    before,
+                    before.requests().get(active.key()),
                     RequestTimeouts.nextSilenceCheckDelay(active, time)));
   }
 
-  /**
-   * Leaves a server whose stream has become silent for one that can accept the request at once;
-   * empty if there is none.
-   */
-  Optional<Step<DispatchState, DispatchEffect>> leaveSilentServer(
+  /** Leaves a server whose stream has become silent if another one can accept it at once. */
+  Step<DispatchState, DispatchEffect> leaveSilentServer(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    if (!active.mayRunAgain()) {
+      return Step.of(state);
+    }
+    DispatchState penalized = withSilentAttempt(state, active, time);
+    return acceptedElsewhere(penalized, active, time)
+        ? leave(penalized, active, time)
+        : Step.of(state);
+  }
+
+  /** Withdraws an attempt, with a retry in reserve for the next one. */
+  private Step<DispatchState, DispatchEffect> leave(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
-    return active.mayRunAgain()
-        ? redispatchSilent(withSilentAttempt(state, active, time), active, time)
-        : Optional.empty();
+    ActiveRequest leaving = active.with(active.progress().withRetryReserved(true));
+    DispatchState charged = retries.charge(state, active, time);
+    return Step.of(charged.withRequest(leaving), leaving.withdrawal("silent"));
   }
 
   private static DispatchState withSilentAttempt(
@@ -283,22 +290,19 @@
   }
 
   /**
-   * Sends a request to another server if that can accept it without a load. Otherwise the request
-   * stays with its silent server, which may still respond.
+   * Returns whether another server can accept a request without a load. Otherwise the request stays
+   * with its silent server, which may still respond.
    */
-  private Optional<Step<DispatchState, DispatchEffect>> redispatchSilent(
-      DispatchState state, ActiveRequest active, MonotonicTime time) {
-    if (!mayRetry(state, active, time)
+  private boolean acceptedElsewhere(DispatchState state, ActiveRequest active, MonotonicTime time) {
+    if (!retries.allows(state, active, time)
         || verdict(state, active, time).decision() != Verdict.Decision.SEND) {
-      return Optional.empty();
+      return false;
     }
     DispatchState released = RequestCompletion.withoutAddedLoad(state, active);
     String silent = active.progress().instance().orElseThrow();
     ActiveRequest unassigned =
         active.with(
             active.progress().withAttemptEnded(active.progress().history().withExcluded(silent)));
-    DispatchEffect cancel =
-        new DispatchEffect.CancelAttempt(active.request(), active.progress().attempts(), "silent");
     return choice
         .choose(
             unassigned,
@@ -306,10 +310,7 @@
             candidates(released, unassigned, time),
             time)
         .filter(other -> other.loadRequirement() == Candidate.LoadRequirement.NONE)
-        .map(
-            other ->
-                Step.<DispatchState, DispatchEffect>of(released, cancel)
-                    .andThen(before -> send(before, unassigned, other, time)));
+        .isPresent();
   }
 
   private Step<DispatchState, DispatchEffect> expire(
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -71,26 +71,28 @@
 
   static ServiceCatalogue catalogue(long version, double rate) {
     return new ServiceCatalogue(
-        version,
-        List.of(
-            route("read", "/read/", RequestKind.IDEMPOTENT, "plain", 2),
-            route("book", "/book/", RequestKind.NON_IDEMPOTENT, "plain", 1),
-            route("chat", "/chat/", RequestKind.RESUMABLE_STREAM, "engine", 2),
-            route("audit", "/audit/", RequestKind.STREAM, "engine", 1)),
-        List.of(
-            new ServiceDefinition("plain", 10, Optional.empty()),
-            new ServiceDefinition(
-                "engine", 10, Optional.of(new EngineProfile(8, 100_000, 4, 100, List.of())))),
-        RequestLimits.INITIAL,
-        List.of(
-            new AccountLimits(
-                new ClientAccountName("account"),
-                Set.of(KEY),
-                OptionalInt.empty(),
-                true,
-                100,
-                rate,
-                rate)));
+        version, routes(), services(), RequestLimits.INITIAL, List.of(account(rate)));
+  }
+
+  static List<ServiceRoute> routes() {
+    return List.of(
+        route("read", "/read/", RequestKind.IDEMPOTENT, "plain", 2),
+        route("book", "/book/", RequestKind.NON_IDEMPOTENT, "plain", 1),
+        route("chat", "/chat/", RequestKind.RESUMABLE_STREAM, "engine", 2),
+        route("talk", "/talk/", RequestKind.RESUMABLE_STREAM, "engine", 3),
+        route("audit", "/audit/", RequestKind.STREAM, "engine", 1));
+  }
+
+  static List<ServiceDefinition> services() {
+    return List.of(
+        new ServiceDefinition("plain", 10, Optional.empty()),
+        new ServiceDefinition(
+            "engine", 10, Optional.of(new EngineProfile(8, 100_000, 4, 100, List.of()))));
+  }
+
+  static AccountLimits account(double rate) {
+    return new AccountLimits(
+        new ClientAccountName("account"), Set.of(KEY), OptionalInt.empty(), true, 100, rate, rate);
   }
 
   static Instance plain(String name) {
@@ -130,6 +132,27 @@
     now = now.plus(duration);
   }
 
+  MonotonicTime now() {
+    return now;
+  }
+
+  /** Takes away all retries that are left at a service. */
+  void exhaustBudget(String service) {
+    state = state.withBudget(service, RetryBudget.fresh(now));
+  }
+
+  /** Leaves one retry at a service. */
+  void leaveOneRetry(String service) {
+    state = state.withBudget(service, RetryBudget.fresh(now).refund());
+  }
+
+  /** Waits for a wake event that is among the effects, and returns what follows from it. */
+  List<DispatchEffect> wake(List<DispatchEffect> effects) {
+    DispatchEffect.WakeAfter wake = only(effects, DispatchEffect.WakeAfter.class);
+    advance(wake.delay());
+    return apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber()));
+  }
+
   DispatchState state() {
     return state;
   }
@@ -164,7 +187,9 @@
   }
 
   List<DispatchEffect> end(DispatchEffect.Send send, AttemptOutcome outcome, boolean started) {
-    boolean buffered = outcome != AttemptOutcome.BROKEN && outcome != AttemptOutcome.NOT_SENT;
+    boolean buffered =
+        !Set.of(AttemptOutcome.BROKEN, AttemptOutcome.NOT_SENT, AttemptOutcome.WITHDRAWN)
+            .contains(outcome);
     return apply(
         new DispatchEvent.AttemptEnded(
             send.request().key(),
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -96,6 +96,33 @@
     }
   }
 
+  /**
+   * Ends an attempt whose server is silent. Keeps it if the server has answered meanwhile. Does
+   * nothing if it has ended, since the event that reports this is on its way.
+   */
+  public void withdraw(DispatchEffect.WithdrawAttempt withdraw) {
+    UpstreamAttempt attempt = activeAttempts.get(withdraw.request().key());
+    if (attempt == null || attempt.attemptNumber() != withdraw.attempt()) {
+      return;
+    }
+    if (!attempt.silent(withdraw.answering())) {
+      attempt.log("send_kept", "reason", withdraw.reason());
+      listener.accept(
+          new DispatchEvent.AttemptKept(attempt.requestKey(), attempt.attemptNumber()));
+      return;
+    }
+    attempt.cancel();
+    attemptEnded(
+        attempt,
+        new AttemptResult(
+            AttemptOutcome.WITHDRAWN,
+            0,
+            withdraw.answering(),
+            false,
+            Optional.empty(),
+            withdraw.reason()));
+  }
+
   private void connect(Instance instance, UpstreamAttempt attempt) {
     ChannelFuture connected =
         new Bootstrap()
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/ForwardingHost.java
@@ -22,6 +22,7 @@
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ServingRequest;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.gateway.callers.CallerListener;
@@ -40,6 +41,7 @@
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("test-sockets", true), NioIoHandler.newFactory());
   private final BlockingQueue<DispatchEvent> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<ServingRequest> requests = new LinkedBlockingQueue<>();
   private final UpstreamClient client;
   private final int port;
 
@@ -74,6 +76,7 @@
           public boolean requestReceived(Exchange exchange) {
             exchanges.put(exchange.request().key(), exchange);
             client.send(send(exchange, serverPort), exchange);
+            requests.add(exchange.request());
             return true;
           }
 
@@ -136,6 +139,25 @@
     }
   }
 
+  /** Returns the next request that was sent; fails if there is none in time. */
+  ServingRequest nextRequest() throws InterruptedException {
+    ServingRequest request = requests.poll(20, TimeUnit.SECONDS);
+    if (request == null) {
+      throw new AssertionError("no request");
+    }
+    return request;
+  }
+
+  /** Withdraws the attempt at a request, and returns once that is done. */
+  void withdraw(ServingRequest request, boolean answering) throws Exception {
+    eventLoops
+        .submit(
+            () ->
+                client.withdraw(
+                    new DispatchEffect.WithdrawAttempt(request, 1, answering, "silent")))
+        .get(20, TimeUnit.SECONDS);
+  }
+
   /** Returns the bytes of responses that are buffered. */
   long bufferedBytes() throws Exception {
     return eventLoops.submit(client::bufferedBytes).get(20, TimeUnit.SECONDS);
