--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptHistory.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptHistory.java
@@ -34,7 +34,8 @@
   }
 
   AttemptHistory withExcluded(String instance) {
-    return new AttemptHistory(attempts, possibleRuns, misdirected, excluded.plus(instance), retryReserved);
+    return new AttemptHistory(
+        attempts, possibleRuns, misdirected, excluded.plus(instance), retryReserved);
   }
 
   /**
@@ -45,11 +46,13 @@
   AttemptHistory withMisdirected(String instance) {
     return misdirected.contains(instance)
         ? withExcluded(instance)
-        : new AttemptHistory(attempts, possibleRuns, misdirected.plus(instance), excluded, retryReserved);
+        : new AttemptHistory(
+            attempts, possibleRuns, misdirected.plus(instance), excluded, retryReserved);
   }
 
   AttemptHistory withoutExclusions() {
-    return new AttemptHistory(attempts, possibleRuns, misdirected, HashTreePSet.empty(), retryReserved);
+    return new AttemptHistory(
+        attempts, possibleRuns, misdirected, HashTreePSet.empty(), retryReserved);
   }
 
   AttemptHistory withRetryReserved(boolean reserved) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/IdleConnectionHandler.java
@@ -19,7 +19,7 @@
   private final Instance instance;
   private final UpstreamConnection connection;
   private final IdleConnectionPool pool;
-  private boolean spoiled;
+  private boolean received;
 
   IdleConnectionHandler(Instance instance, UpstreamConnection connection, IdleConnectionPool pool) {
     this.instance = instance;
@@ -37,11 +37,11 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ReferenceCountUtil.release(message);
-    if (!spoiled) {
-      spoiled = true;
+    if (!received) {
+      received = true;
       connection.responseIgnored();
       LOG.request(
-          "idle_connection_spoiled",
+          "unexpected_bytes",
           connection.describe(
               "instance", instance.identifier(), "last_request", connection.lastRequest()));
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -51,7 +51,6 @@
   private HttpResponse response;
   private ResponseHead responseHead;
   private boolean ignoringResponse;
-  private boolean ignoredBefore;
   private boolean connectionFailed;
   private boolean cancelled;
   private boolean ended;
@@ -92,7 +91,7 @@
   /** Writes the request to a connection. */
   void write(UpstreamConnection connected) {
     connection = connected;
-    reusedConnection = connected.used();
+    reusedConnection = connected.hasCarriedRequest();
     Channel channel = connected.channel();
     if (cancelled || exchange.ended()) {
       idlePool.release(send.instance(), connected, DEFAULT_KEEP_ALIVE_TIMEOUT);
@@ -101,8 +100,7 @@
       return;
     }
     HttpHeaders headers = dialect.upstreamHeaders(exchange.head(), send, exchange.lastEvent());
-    connected.attach(this);
-    connected.requestWritten(send.request().identifier());
+    connected.attach(this, send.request().identifier());
     channel.writeAndFlush(
         MessageHeads.request(exchange.head(), exchange.body(), headers), channel.voidPromise());
   }
@@ -211,10 +209,9 @@
 
   /** Logs the first response that is ignored; a server may send any number of them. */
   private void ignore(HttpResponse head, ResponseHead parsed) {
-    reusable = false;
     connection.responseIgnored();
-    if (!ignoredBefore) {
-      ignoredBefore = true;
+    if (reusable) {
+      reusable = false;
       log(
           "response_ignored",
           "identifier",
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -107,8 +107,7 @@
     }
     if (!attempt.silent(withdraw.answering())) {
       attempt.log("send_kept", "reason", withdraw.reason());
-      listener.accept(
-          new DispatchEvent.AttemptKept(attempt.requestKey(), attempt.attemptNumber()));
+      listener.accept(new DispatchEvent.AttemptKept(attempt.requestKey(), attempt.attemptNumber()));
       return;
     }
     attempt.cancel();
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
@@ -52,8 +52,12 @@
     return channel;
   }
 
-  /** Attaches the handler of an attempt, behind a codec that has read nothing yet. */
-  void attach(ChannelHandler attempt) {
+  /**
+   * Attaches the handler of an attempt, behind a codec that has read nothing yet, and records that
+   * its request is written.
+   */
+  void attach(ChannelHandler attempt, String identifier) {
+    requestWritten(identifier);
     IdleConnectionHandler.removeFrom(channel);
     UnansweredByteLimit.requestWritten(channel);
     channel.pipeline().addLast(codec()).addLast(attempt);
@@ -81,8 +85,8 @@
         false);
   }
 
-  /** Returns whether a request was written to it before. */
-  boolean used() {
+  /** Returns whether a request was written to it. */
+  boolean hasCarriedRequest() {
     return requests > 0;
   }
 
