Take no report of a former run for the state of a server

What callers could see: requests sent to a server that has just restarted empty (421), until an order fails on its precondition.

Cause: a server may start again under its identifier, and its count of orders with it. A report carries the start of the run that it tells about (born), which dispatch compares and the owner of the server did not: a report that was read before the restart and handled after it was announced became the state of the new run.

Change: such a report leaves the state unknown, and another one follows. Orders need nothing: their numbers are unique in a process, and an announced restart ends the order in flight.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
@@ -9,6 +9,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.pcollections.HashTreePMap;
@@ -122,7 +123,7 @@
     if (engine == null || engine.reported()) {
       return Step.of(state);
     }
-    if (report.busy()) {
+    if (report.busy() || ofFormerRun(state, report.report())) {
       return Step.of(
           state.withEngine(instance, engine.withUnknownState(time.plus(settings.reportLag()))));
     }
@@ -130,6 +131,12 @@
     return advance(state.withEngine(instance, next), instance, time);
   }
 
+  /** Returns whether a report tells about a run of the server before the announced one. */
+  private static boolean ofFormerRun(FleetState state, AdapterReport report) {
+    Instance announced = state.instances().get(report.instance());
+    return announced != null && report.startedAtMilliseconds() < announced.startedAtMilliseconds();
+  }
+
   Step<FleetState, FleetEffect> reportFailed(
       FleetState state, FleetEvent.ReportFailed failed, MonotonicTime time) {
     OwnedEngine engine = state.engines().get(failed.instance());
