Failing tests: late heartbeats of a replaced process are taken for its host's

What callers could see: refusals below the limit of their account (429) for a while, since what the former process admitted counts again; votes for the new process that end early, while it holds the lease. A frozen host that reads two connections of one host in the other order can meet it.

Cause: heartbeats are taken for those of the host at their endpoint. Their incarnations differ, but are random, so that neither is known to be later.

Tried and dropped: remembering the former incarnation and ignoring its messages. A host that starts and hears the new process first, then a late message of the former, would ignore the new one for good. An incarnation that increases (a start time beside the random number) would tell them apart.

--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
@@ -24,6 +24,8 @@
 
   private static final String SELF = "10.0.0.1:9";
   private static final List<String> OTHERS = List.of("10.0.0.2:9", "10.0.0.3:9");
+  private static final String PEER = OTHERS.get(0);
+  private static final String ACCOUNT = "account";
   private static final String INSTANCE = "i-0";
   private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration UNTIL_CLAIMS = Duration.ofSeconds(4);
@@ -91,6 +93,42 @@
     return state.engines().get(INSTANCE).reported();
   }
 
+  /** Receives a heartbeat of another host, which tells what it has admitted for one account. */
+  void receive(long incarnation, boolean leaving, double admittedUnits) {
+    apply(
+        new FleetEvent.HeartbeatReceived(
+            PEER,
+            incarnation,
+            new Heartbeat(
+                1,
+                PEER,
+                leaving,
+                1,
+                0,
+                true,
+                75,
+                0,
+                Map.of(),
+                List.of(),
+                List.of(),
+                false,
+                Map.of(ACCOUNT, admittedUnits),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                Optional.empty())));
+  }
+
+  /** Returns whether the host that sent heartbeats is considered alive. */
+  boolean peerAlive() {
+    return state.hosts().get(PEER).alive();
+  }
+
+  /** Returns what the host that sent heartbeats has admitted since the first of them. */
+  double peerAdmittedUnits() {
+    return state.statistics().get(PEER).admittedUnits().getOrDefault(ACCOUNT, 0.0);
+  }
+
   private void apply(FleetEvent event) {
     Step<FleetState, FleetEffect> step = transition.apply(state, event, now);
     state = step.state();
