Wait in the soak until a host has started before it gets a fault

Cause: on a machine with a load average of 40 on 8 processors a host took up to 13 s to start; faults began after 6 s. The bounds stay.

--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
@@ -150,6 +150,7 @@
     host.kill();
     sleep(randomInteger(1_500));
     host.start(false);
+    host.awaitStarted();
     sleep(2_000);
     host.endDisturbance();
   }
@@ -162,6 +163,7 @@
     }
     sleep(randomInteger(1_000));
     host.start(false);
+    host.awaitStarted();
     sleep(2_000);
     host.endDisturbance();
   }
