Bound the sends of a started stream by its budget and time, not by their number

Cause: the bound is for requests of which the caller has nothing, since the caller comes back. Change: sends that did not run no longer count against a started stream; beyond the fourth they are 0.1 s apart, doubled each time up to 1.6 s, and the retry budget is asked each time as before.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -36,8 +36,11 @@
     List<Long> prefixHashes,
     Progress progress) {
 
-  /** Attempts per request, including those that are known not to have run. */
-  private static final int MAXIMUM_ATTEMPTS = 4;
+  /**
+   * Attempts per request whose response has not started, including those that are known not to have
+   * run.
+   */
+  static final int MAXIMUM_ATTEMPTS = 4;
 
   ActiveRequest with(Progress next) {
     return new ActiveRequest(
@@ -70,7 +73,7 @@
   /** Returns whether one more attempt is allowed, whatever the retry budget. */
   boolean mayBeSentAgain() {
     boolean runAllowed = progress.possibleRuns() == 0 || mayRunAgain();
-    return runAllowed && progress.attempts() < MAXIMUM_ATTEMPTS;
+    return runAllowed && (progress.responseStarted() || progress.attempts() < MAXIMUM_ATTEMPTS);
   }
 
   /**
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -128,7 +128,10 @@
   private Step<DispatchState, DispatchEffect> continueAfter(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     return switch (result.outcome()) {
-      case NOT_SENT, MISDIRECTED, NO_ROOM, WITHDRAWN -> dispatcher.dispatch(state, active, time);
+      case NOT_SENT, MISDIRECTED, NO_ROOM ->
+          StreamResumption.awaitAfterRejection(state, active, time)
+              .orElseGet(() -> dispatcher.dispatch(state, active, time));
+      case WITHDRAWN -> dispatcher.dispatch(state, active, time);
       case FAILED, BROKEN -> {
         if (active.mayRunAgain()) {
           Step<DispatchState, DispatchEffect> retry = dispatcher.dispatch(state, active, time);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -16,8 +16,22 @@
   /** Interval at which a stream that waits for an instance is dispatched again. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+  /** Bounds the delay, which doubles with each attempt beyond those that are sent at once. */
+  private static final int MAXIMUM_DOUBLINGS = 4;
+
   private StreamResumption() {}
 
+  /**
+   * Returns the wait of a stream that has started and was rejected by many instances; empty if it
+   * may be sent again at once.
+   */
+  static Optional<Step<DispatchState, DispatchEffect>> awaitAfterRejection(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return active.progress().attempts() < ActiveRequest.MAXIMUM_ATTEMPTS
+        ? Optional.empty()
+        : await(state, active, DispatchRefusal.Code.NO_ROOM, time);
+  }
+
   /**
    * Returns the wait of a stream that has started; empty if it cannot be resumed any more.
    *
@@ -32,7 +46,8 @@
     // Without any other instance, one that failed before is better than none.
     Progress next = code == DispatchRefusal.Code.NO_ROOM ? progress : progress.withoutExclusions();
     Duration timeLeft = active.deadline().since(time);
-    Duration delay = RETRY_DELAY.compareTo(timeLeft) < 0 ? RETRY_DELAY : timeLeft;
+    Duration retryDelay = retryDelay(progress.attempts());
+    Duration delay = retryDelay.compareTo(timeLeft) < 0 ? retryDelay : timeLeft;
     Step<DispatchState, DispatchEffect> waiting =
         RequestWakes.schedule(state, active.with(next.waiting()), delay);
     return Optional.of(
@@ -45,6 +60,11 @@
                         new DispatchEffect.ResumptionDelayed(active.request(), code, timeLeft))));
   }
 
+  private static Duration retryDelay(int attempts) {
+    int doublings = Math.max(0, attempts - ActiveRequest.MAXIMUM_ATTEMPTS);
+    return RETRY_DELAY.multipliedBy(1L << Math.min(doublings, MAXIMUM_DOUBLINGS));
+  }
+
   private static boolean resumable(DispatchState state, ActiveRequest active, MonotonicTime time) {
     return active.progress().responseStarted()
         && active.mayBeSentAgain()
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeStreamServers.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeStreamServers.java
@@ -20,7 +20,6 @@
   private static final long MILLISECOND = 1_000_000;
   private static final long SILENCE = 1_200 * MILLISECOND;
   private static final long REPEATED_SILENCE = 400 * MILLISECOND;
-  private static final int MAXIMUM_SENDS = 4;
 
   private final DispatchFixture host;
   private final Random random;
@@ -241,7 +240,7 @@
       return;
     }
     boolean late = now >= call.receivedAt + FakeCallers.DEADLINE.toNanos();
-    if (!late && call.possibleRuns < call.routeAttempts && call.sends < MAXIMUM_SENDS) {
+    if (!late && call.possibleRuns < call.routeAttempts) {
       violations.add(call + " is broken off: " + reason);
     }
     end(call, Ending.BROKEN_OFF);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -85,6 +87,22 @@
       assertEquals(send.instance(), second.instance());
     }
 
+    @ParameterizedTest
+    @EnumSource(
+        value = AttemptOutcome.class,
+        names = {"NO_ROOM", "NOT_SENT"})
+    @DisplayName("while all servers reject it, however often")
+    void whileServersReject(AttemptOutcome rejection) {
+      List<DispatchEffect> effects = breakOff(started("/chat/x"));
+      for (int sends = 2; sends <= 6; sends++) {
+        DispatchEffect.Send send =
+            only(wakeUntil(effects, DispatchEffect.Send.class), DispatchEffect.Send.class);
+        effects = host.end(send, rejection, true);
+      }
+      assertTrue(
+          contains(wakeUntil(effects, DispatchEffect.Send.class), DispatchEffect.Send.class));
+    }
+
     @Test
     @DisplayName("while all servers are gone, until another one is announced")
     void withoutServers() {
