Ignore that an attempt has begun to answer once it has ended

EventSender offers an event again after 20 ms if the ring is full, so that the end of an attempt can overtake its start. A stream that waited to be resumed had no instance then, the transition threw, and the caller's answer was broken off as INTERNAL_ERROR. Result: StreamResumptionTests.afterLateStart failed before (NoSuchElementException), passes; 85 tests of dispatch pass. Open: EventSender may still change the order of events when a ring is full.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -23,7 +23,9 @@
   Step<DispatchState, DispatchEffect> onResponseStarted(
       DispatchState state, DispatchEvent.ResponseStarted started, MonotonicTime time) {
     ActiveRequest active = state.requests().get(started.requestKey());
-    if (active == null || active.progress().attempts() != started.attempt()) {
+    if (active == null
+        || active.progress().phase() != Phase.SENT
+        || active.progress().attempts() != started.attempt()) {
       return Step.of(state);
     }
     InstanceLoad processed =
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
@@ -103,6 +103,17 @@
           contains(wakeUntil(effects, DispatchEffect.Send.class), DispatchEffect.Send.class));
     }
 
+    @Test
+    @DisplayName("although its former attempt is reported late as having begun to answer")
+    void afterLateStart() {
+      DispatchEffect.Send send = host.send("/chat/x", work(ADAPTER));
+      host.exhaustBudget("engine");
+      List<DispatchEffect> effects = breakOff(send);
+      host.apply(new DispatchEvent.ResponseStarted(send.request().key(), send.attempt()));
+      assertTrue(
+          contains(wakeUntil(effects, DispatchEffect.Send.class), DispatchEffect.Send.class));
+    }
+
     @Test
     @DisplayName("while all servers are gone, until another one is announced")
     void withoutServers() {
