A planned stop waits for the requests that it takes last

Cause: the stop looked at the active requests, found none, refused new ones from then on, and waited a fixed 0.4 s for those taken in between. Change: PlannedStop refuses new requests first and then waits for the active ones while time is left. Its order is a class of its own with clock and effects as arguments.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -21,7 +21,6 @@
 import org.parsleyhead.core.dispatch.DispatchState;
 import org.parsleyhead.core.dispatch.DispatchTransition;
 import org.parsleyhead.core.dispatch.FailureIsolation;
-import org.parsleyhead.core.dispatch.StopStage;
 import org.parsleyhead.core.fleet.FleetEffect;
 import org.parsleyhead.core.fleet.FleetEvent;
 import org.parsleyhead.core.fleet.FleetSettings;
@@ -87,20 +86,12 @@
   /** Reports describe a state that is several hundred milliseconds old. */
   private static final Duration MAXIMUM_REPORT_LAG = Duration.ofMillis(500);
 
-  /** The load balancer polls once per second and removes a host after two failed polls. */
-  private static final Duration BALANCER_DETECTION_TIME = Duration.ofMillis(2_700);
-
-  /** Time for complete responses in transit to arrive once all new requests are rejected. */
-  private static final Duration LAST_RESPONSES_DELAY = Duration.ofMillis(300);
-
   /** Added to the lease gap for orders that are in transit. */
   private static final Duration LEASE_GAP_MARGIN = Duration.ofMillis(300);
 
   /** The part of the time until its deadline for which a request may wait for a new owner. */
   private static final double MAXIMUM_WAIT_FRACTION = 0.7;
 
-  private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
-
   private final GatewaySettings settings;
   private final EventLoopGroup eventLoops;
   private final MonotonicClock clock = SuspensionAwareClock.ofProcess();
@@ -215,19 +206,14 @@
     LOG.info("stopping", "active_requests", dispatch.state().activeRequests());
     stopping.set(true);
     fleet.ring().offer(new FleetEvent.Leaving());
-    MonotonicTime started = clock.now();
-    parkUntil(started.plus(BALANCER_DETECTION_TIME));
-    dispatch.ring().offer(new DispatchEvent.Stopping(StopStage.REJECT_STREAMS));
-    MonotonicTime deadline = started.plus(settings.stopTimeout());
-    do {
-      callers.closeIdle();
-      parkUntil(clock.now().plus(STOP_CHECK_INTERVAL));
-    } while (dispatch.state().activeRequests() > 0 && clock.now().isBefore(deadline));
-    dispatch.ring().offer(new DispatchEvent.Stopping(StopStage.REJECT_ALL));
-    parkUntil(clock.now().plus(LAST_RESPONSES_DELAY));
-    callers.closeIdle();
-    parkUntil(clock.now().plus(STOP_CHECK_INTERVAL));
-    final int unanswered = dispatch.state().activeRequests();
+    final int unanswered =
+        new PlannedStop(
+                clock,
+                this::parkUntil,
+                stage -> dispatch.ring().offer(new DispatchEvent.Stopping(stage)),
+                callers::closeIdle,
+                () -> dispatch.state().activeRequests())
+            .run(settings.stopTimeout());
     dispatch.close();
     fleet.close();
     publication.close();
