Measure no silence of a stream while its own caller does not read

A sound server was left, and counted as failing, since its caller read slowly: while reading from the server is stopped no event can come, and the timer ran on. If the next server failed, the answer was broken off. Change: the timer is paused while reading is stopped, and measures anew from when it goes on.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
@@ -59,11 +59,17 @@
     }
     started = true;
     exchange.writeEvents(Unpooled.wrappedBuffer(complete), events.lastIdentifier());
-    if (!exchange.checkWritable(() -> upstream.config().setAutoRead(true))) {
+    if (!exchange.checkWritable(() -> readOn(upstream))) {
       upstream.config().setAutoRead(false);
+      silenceTimer.pause();
     }
   }
 
+  private void readOn(Channel upstream) {
+    silenceTimer.resume();
+    upstream.config().setAutoRead(true);
+  }
+
   /** Stops reporting silence. */
   void stop() {
     silenceTimer.stop();
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/StreamSilenceTimer.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/StreamSilenceTimer.java
@@ -8,7 +8,8 @@
 /**
  * Reports a stream without events as silent, first after a timeout and then at intervals.
  *
- * <p>Confined to the event loop. Bytes that complete no event do not count.
+ * <p>Confined to the event loop. Bytes that complete no event do not count, nor does the time in
+ * which nothing is read.
  */
 final class StreamSilenceTimer {
 
@@ -21,6 +22,7 @@
   private final Runnable onSilence;
   private EventLoop eventLoop;
   private long lastEventNanoseconds;
+  private boolean paused;
   private Future<?> nextCheck;
 
   StreamSilenceTimer(Runnable onSilence) {
@@ -39,6 +41,19 @@
     lastEventNanoseconds = System.nanoTime();
   }
 
+  /** Stops measuring, since nothing is read from the stream. */
+  void pause() {
+    paused = true;
+  }
+
+  /** Measures anew if the timer was paused. */
+  void resume() {
+    if (paused) {
+      paused = false;
+      eventReceived();
+    }
+  }
+
   /** Returns whether the stream is silent now; requires that the timer was started. */
   boolean silent() {
     return remainingNanoseconds() <= 0;
@@ -66,6 +81,8 @@
   }
 
   private long remainingNanoseconds() {
-    return lastEventNanoseconds + TIMEOUT.toNanos() - System.nanoTime();
+    return paused
+        ? TIMEOUT.toNanos()
+        : lastEventNanoseconds + TIMEOUT.toNanos() - System.nanoTime();
   }
 }
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/UpstreamClientTests.java
@@ -14,7 +14,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -325,6 +327,39 @@
       }
     }
 
+    @Test
+    @DisplayName("does not report it as silent while its own caller does not read")
+    void waitsForSlowCaller() throws Exception {
+      int events = 400;
+      String event = "data: " + "x".repeat(50_000) + "\n\n";
+      String head = "HTTP/1.1 200 OK\r\nId: r\r\nStamp: s\r\nContent-Length: ";
+      try (FakeRawServer server =
+              new FakeRawServer(
+                  (identifier, output) -> {
+                    output.write(text(head + events * event.length() + "\r\n\r\n"));
+                    for (int index = 0; index < events; index++) {
+                      output.write(text(event));
+                    }
+                  });
+          ForwardingHost host = new ForwardingHost(server.port());
+          Socket caller = host.request("/stream", "r")) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2_500));
+        Thread reader = new Thread(() -> discard(caller), "caller");
+        reader.setDaemon(true);
+        reader.start();
+        assertInstanceOf(DispatchEvent.ResponseStarted.class, host.nextEvent());
+        assertInstanceOf(DispatchEvent.AttemptEnded.class, host.nextEvent());
+      }
+    }
+
+    private void discard(Socket caller) {
+      try {
+        caller.getInputStream().transferTo(OutputStream.nullOutputStream());
+      } catch (IOException closed) {
+        // The test closed the connection.
+      }
+    }
+
     private void sleep() throws IOException {
       try {
         Thread.sleep(100);
