--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -112,7 +112,7 @@
 
   /**
    * Returns whether the server is silent: has sent no event yet or, if the attempt was known to
-   * have begun to answer, has sent none for some time.
+   * have begun to answer, has sent none for some time. A plain response is silent until its end.
    */
   boolean silent(boolean answering) {
     return answering ? stream.silent() : !stream.started();
