--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/IncompleteLateResponseTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/IncompleteLateResponseTests.java
@@ -2,11 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.parsleyhead.gateway.upstreams.RawResponses.response;
+import static org.parsleyhead.gateway.upstreams.RawResponses.write;
 
-import java.io.IOException;
-import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.DisplayName;
@@ -39,18 +38,6 @@
     }
   }
 
-  private static void write(OutputStream output, String text) throws IOException {
-    output.write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private static String response(String status, String identifier) {
-    return "HTTP/1.1 "
-        + status
-        + "\r\nId: "
-        + identifier
-        + "\r\nStamp: s\r\nContent-Length: 1\r\n\r\nx";
-  }
-
   /** Sends a request that is answered, then one that the server fails, and returns its result. */
   private static AttemptResult resultOfSecondRequest(FakeRawServer.Script script) throws Exception {
     try (FakeRawServer server = new FakeRawServer(script);
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/RepeatedSendTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/RepeatedSendTests.java
@@ -2,11 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.parsleyhead.gateway.upstreams.RawResponses.response;
+import static org.parsleyhead.gateway.upstreams.RawResponses.write;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -49,18 +50,6 @@
       int run = runs.merge(identifier, 1, Integer::sum);
       write(output, response(answers[Math.min(run, answers.length) - 1], identifier));
     }
-
-    private static void write(OutputStream output, String text) throws IOException {
-      output.write(text.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    private static String response(String statusAndFields, String identifier) {
-      return "HTTP/1.1 "
-          + statusAndFields
-          + "\r\nId: "
-          + identifier
-          + "\r\nStamp: s\r\nContent-Length: 1\r\n\r\nx";
-    }
   }
 
   private static AttemptResult resultOfRepeatedSend(FakeRawServer.Script script) throws Exception {
