A restriction of a trait does not end a stream that has begun

Callers saw their connection closed in the middle of a 200 when the server of a stream ended and a trait of the stream had been restricted meanwhile, with most of their time left: the refusal of the quarantine, meant for requests that have nothing yet, became an Abort. The same happened to a stream whose start had not been reported, and to one that was taken back from a second server that had not answered.

A refusal for a trait goes through StreamResumption now: the stream is sent to no server while the restriction holds, and waits until it is lifted or its deadline comes. It is not taken back from its last run, since that would end it. Exclusions of servers are kept in this wait, as the code speaks of a rule and not of the servers that are known.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/QuarantineHandler.java
@@ -150,7 +150,10 @@
     return new Step<>(updated, effects).andThen(current -> takeBack(current, restricted));
   }
 
-  /** Takes back the requests with a trait that no server has begun to answer yet. */
+  /**
+   * Takes back the requests with a trait that no server has begun to answer yet. A response that
+   * has started is left with its last run, since taking that back would end it.
+   */
   private static Step<DispatchState, DispatchEffect> takeBack(
       DispatchState state, Set<Trait> restricted) {
     Step<DispatchState, DispatchEffect> step = Step.of(state);
@@ -160,7 +163,10 @@
     for (ActiveRequest active : state.requests().values()) {
       boolean unanswered =
           active.progress().phase() == Phase.SENT && !active.progress().assignment().answering();
-      if (unanswered && traits(active.request()).stream().anyMatch(restricted::contains)) {
+      boolean lastRun = active.progress().responseStarted() && !active.mayRunAgain();
+      if (unanswered
+          && !lastRun
+          && traits(active.request()).stream().anyMatch(restricted::contains)) {
         step = step.andThen(next -> Step.of(next, active.withdrawal("quarantine")));
       }
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -30,19 +30,33 @@
       DispatchRefusal.Code code,
       Duration retryAfter,
       MonotonicTime time) {
-    return StreamResumption.await(state, active, code, time)
-        .orElseGet(() -> end(state, active, code, retryAfter, inputs(active, time)));
+    return fail(state, active, code, retryAfter, inputs(active, time), time);
   }
 
-  /** Refuses a request because of a trait, and logs which one. */
+  /**
+   * Fails a request because of a trait, and logs which one. A response that has started waits until
+   * the restriction ends, if it may still be resumed then.
+   */
   static Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, Verdict verdict, MonotonicTime time) {
-    return end(
+    return fail(
         state,
         active,
         DispatchRefusal.Code.QUARANTINED,
         verdict.retryAfter(),
-        verdict.inputs() + " " + inputs(active, time));
+        verdict.inputs() + " " + inputs(active, time),
+        time);
+  }
+
+  private static Step<DispatchState, DispatchEffect> fail(
+      DispatchState state,
+      ActiveRequest active,
+      DispatchRefusal.Code code,
+      Duration retryAfter,
+      String inputs,
+      MonotonicTime time) {
+    return StreamResumption.await(state, active, code, time)
+        .orElseGet(() -> end(state, active, code, retryAfter, inputs));
   }
 
   private static Step<DispatchState, DispatchEffect> end(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -44,7 +44,7 @@
     }
     Progress progress = active.progress().withoutLoadRequests();
     // Without any other instance, one that failed before is better than none.
-    Progress next = code == DispatchRefusal.Code.NO_ROOM ? progress : progress.withoutExclusions();
+    Progress next = withoutInstance(code) ? progress.withoutExclusions() : progress;
     Duration timeLeft = active.deadline().since(time);
     Duration retryDelay = retryDelay(progress.attempts());
     Duration delay = retryDelay.compareTo(timeLeft) < 0 ? retryDelay : timeLeft;
@@ -60,6 +60,11 @@
                         new DispatchEffect.ResumptionDelayed(active.request(), code, timeLeft))));
   }
 
+  /** Returns whether a code speaks of the instances that are known, and not of a rule. */
+  private static boolean withoutInstance(DispatchRefusal.Code code) {
+    return code != DispatchRefusal.Code.NO_ROOM && code != DispatchRefusal.Code.QUARANTINED;
+  }
+
   private static Duration retryDelay(int attempts) {
     int doublings = Math.max(0, attempts - ActiveRequest.MAXIMUM_ATTEMPTS);
     return RETRY_DELAY.multipliedBy(1L << Math.min(doublings, MAXIMUM_DOUBLINGS));
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -17,6 +17,8 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.quarantine.Trait;
+import org.parsleyhead.core.quarantine.TraitReport;
 import org.parsleyhead.core.quarantine.TrialRight;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.EngineProfile;
@@ -33,6 +35,7 @@
   static final String KEY = "key-of-account";
   static final String HOST = "desk.example";
   static final AdapterKey ADAPTER = new AdapterKey("base", "a1");
+  static final Trait PART = new Trait(Trait.Kind.PROMPT_PART, 7);
   static final FailureDomainName NEAR = new FailureDomainName("near");
 
   private static final DispatchSettings SETTINGS =
@@ -124,6 +127,18 @@
     return step.effects();
   }
 
+  /** Applies an event whose handling fails. */
+  List<DispatchEffect> fail(DispatchEvent event) {
+    FailureIsolation isolation =
+        new FailureIsolation(
+            (before, failing, time) -> {
+              throw new IllegalStateException("defect");
+            });
+    Step<DispatchState, DispatchEffect> step = isolation.apply(state, event, now);
+    state = step.state();
+    return step.effects();
+  }
+
   void announce(Instance... instances) {
     apply(new DispatchEvent.InstancesAnnounced(List.of(instances)));
   }
@@ -146,11 +161,16 @@
     state = state.withBudget(service, RetryBudget.fresh(now).refund());
   }
 
-  /** Waits for a wake event that is among the effects, and returns what follows from it. */
-  List<DispatchEffect> wake(List<DispatchEffect> effects) {
+  /** Waits for a wake event that is among the effects, and returns it. */
+  DispatchEvent.Wake awaitWake(List<DispatchEffect> effects) {
     DispatchEffect.WakeAfter wake = only(effects, DispatchEffect.WakeAfter.class);
     advance(wake.delay());
-    return apply(new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber()));
+    return new DispatchEvent.Wake(wake.requestKey(), wake.wakeNumber());
+  }
+
+  /** Waits for a wake event that is among the effects, and returns what follows from it. */
+  List<DispatchEffect> wake(List<DispatchEffect> effects) {
+    return apply(awaitWake(effects));
   }
 
   DispatchState state() {
@@ -198,6 +218,17 @@
                 outcome, buffered ? 500 : 0, started, buffered, Optional.empty(), "test")));
   }
 
+  /** Restricts a trait by what another host has seen, which speaks only against later answers. */
+  List<DispatchEffect> restrict(Trait trait) {
+    List<TraitReport.ReportedLoss> losses = new ArrayList<>();
+    for (int loss = 0; loss < 3; loss++) {
+      losses.add(new TraitReport.ReportedLoss(900 + loss, true, 100 + 400L * loss));
+    }
+    return apply(
+        new DispatchEvent.QuarantineNews(
+            "other", List.of(new TraitReport(trait, Optional.empty(), losses))));
+  }
+
   /** Ends an attempt by the loss of its connection. */
   List<DispatchEffect> lose(DispatchEffect.Send send, ResponseStage stage) {
     return apply(
@@ -212,6 +243,13 @@
     return Optional.of(new ModelWork(adapter, 100, 50, List.of(new PromptPart(7, 100))));
   }
 
+  /** Returns work whose first part other requests have as well. */
+  static Optional<ModelWork> sharedWork() {
+    return Optional.of(
+        new ModelWork(
+            ADAPTER, 100, 50, List.of(new PromptPart(PART.identity(), 50), new PromptPart(8, 50))));
+  }
+
   static <T> T only(List<DispatchEffect> effects, Class<T> type) {
     List<T> found = new ArrayList<>();
     effects.stream().filter(type::isInstance).map(type::cast).forEach(found::add);
