An event that cannot be handled does not end an answer that goes on

A defect in the handling of the start, the silence or a wake of a stream cut its caller off in the middle of a 200 and cancelled its attempt, although the event loop was passing its events on. So did the failure to handle its complete end, when the caller had everything, and the end of an attempt that had been replaced. A wake that failed before the start was known crossed the first event: the refusal met an answer that had begun.

A request at an instance goes on: its start is recorded (its load is released at the end, as a whole), a failed wake is followed by another one, at the latest at the deadline, and a wake that fails there ends the request. A failed end with COMPLETED only releases the request and reports it as finished. After any other failed end an answer that has begun waits to be resumed, if a run is left; else it is aborted. Events of former attempts and former wakes change nothing. All else ends as before: each caller gets a final answer, and other requests are not affected. Each failure is logged by EventFailed.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -65,6 +65,25 @@
     return !time.isBefore(deadline);
   }
 
+  /** Returns whether an attempt is the current one and has not ended. */
+  boolean atInstance(int attempt) {
+    return progress.phase() == Phase.SENT && progress.attempts() == attempt;
+  }
+
+  /** Returns this request after its current attempt has ended and its load was released. */
+  ActiveRequest withAttemptEnded(AttemptResult result) {
+    String instance = progress.instance().orElseThrow();
+    AttemptHistory history = progress.history();
+    AttemptHistory counted = result.outcome().notRun() ? history.withoutRun() : history;
+    Progress ended =
+        progress.withAttemptEnded(
+            result.outcome() == AttemptOutcome.MISDIRECTED
+                ? counted.withMisdirected(instance)
+                : counted.withExcluded(instance));
+    return with(
+        result.responseStarted() && !ended.responseStarted() ? ended.withResponseStarted() : ended);
+  }
+
   /** Returns whether the request may be sent again although earlier attempts may have run. */
   boolean mayRunAgain() {
     return route.kind().repeatable() && progress.possibleRuns() < route.attempts();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -23,9 +23,7 @@
   Step<DispatchState, DispatchEffect> onResponseStarted(
       DispatchState state, DispatchEvent.ResponseStarted started, MonotonicTime time) {
     ActiveRequest active = state.requests().get(started.requestKey());
-    if (active == null
-        || active.progress().phase() != Phase.SENT
-        || active.progress().attempts() != started.attempt()) {
+    if (active == null || !active.atInstance(started.attempt())) {
       return Step.of(state);
     }
     InstanceLoad processed =
@@ -49,9 +47,7 @@
   Step<DispatchState, DispatchEffect> onStreamSilent(
       DispatchState state, DispatchEvent.StreamSilent silent, MonotonicTime time) {
     ActiveRequest active = state.requests().get(silent.requestKey());
-    if (active == null
-        || active.progress().phase() != Phase.SENT
-        || active.progress().attempts() != silent.attempt()) {
+    if (active == null || !active.atInstance(silent.attempt())) {
       return Step.of(state);
     }
     return dispatcher.leaveSilentServer(state, active, time);
@@ -68,9 +64,7 @@
   Step<DispatchState, DispatchEffect> onAttemptEnded(
       DispatchState state, DispatchEvent.AttemptEnded ended, MonotonicTime time) {
     ActiveRequest active = state.requests().get(ended.requestKey());
-    if (active == null
-        || active.progress().phase() != Phase.SENT
-        || active.progress().attempts() != ended.attempt()) {
+    if (active == null || !active.atInstance(ended.attempt())) {
       return Step.of(state);
     }
     if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
@@ -88,16 +82,9 @@
     if (result.outcome() == AttemptOutcome.COMPLETED) {
       return quarantine
           .answered(updated.withoutRequest(active.key()), active, time)
-          .andThen(
-              next ->
-                  Step.of(
-                      next,
-                      new DispatchEffect.Finished(
-                          active.request(),
-                          active.progress().attempts(),
-                          time.since(active.receivedAt()))));
+          .andThen(next -> Step.of(next, RequestCompletion.finished(active, time)));
     }
-    ActiveRequest unassigned = active.with(progress(active, result));
+    ActiveRequest unassigned = active.withAttemptEnded(result);
     return lost(updated.withoutRequest(active.key()), active, result, time)
         .andThen(next -> continueAfter(next.withRequest(unassigned), unassigned, result, time));
   }
@@ -160,22 +147,6 @@
     return step.effects().stream().anyMatch(DispatchEffect.Refuse.class::isInstance);
   }
 
-  private static Progress progress(ActiveRequest active, AttemptResult result) {
-    String instance = active.progress().instance().orElseThrow();
-    AttemptHistory history = active.progress().history();
-    AttemptHistory counted = result.outcome().notRun() ? history.withoutRun() : history;
-    Progress ended =
-        active
-            .progress()
-            .withAttemptEnded(
-                result.outcome() == AttemptOutcome.MISDIRECTED
-                    ? counted.withMisdirected(instance)
-                    : counted.withExcluded(instance));
-    return result.responseStarted() && !ended.responseStarted()
-        ? ended.withResponseStarted()
-        : ended;
-  }
-
   private static DispatchState withOutcome(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     Optional<ModelWork> work = active.request().work();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -109,7 +109,7 @@
       implements DispatchEffect {}
 
   /**
-   * Reports that an event of a request could not be handled, which ended the request.
+   * Reports that an event of a request could not be handled.
    *
    * @param event the type of the event
    * @param failure the unexpected failure
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -104,6 +104,17 @@
         wakeNumber);
   }
 
+  /** Returns this progress after the response has started, with all load still added. */
+  Progress withUncountedResponseStart() {
+    return new Progress(
+        assignment.withAnswering(addedLoad()),
+        history,
+        true,
+        ownerExpectedAt,
+        loadRequests,
+        wakeNumber);
+  }
+
   /**
    * Returns this progress after the attempt has ended and its load was released.
    *
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -80,6 +80,18 @@
     return Step.of(next, new DispatchEffect.Refuse(active.request(), refusal, inputs));
   }
 
+  /** Completes a request whose caller has the whole response. */
+  static Step<DispatchState, DispatchEffect> finish(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    return Step.of(release(state, active, false), finished(active, time));
+  }
+
+  /** Returns the report that the caller of a request has the whole response. */
+  static DispatchEffect finished(ActiveRequest active, MonotonicTime time) {
+    return new DispatchEffect.Finished(
+        active.request(), active.progress().attempts(), time.since(active.receivedAt()));
+  }
+
   /**
    * Returns the state without a request.
    *
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -60,9 +60,10 @@
                         new DispatchEffect.ResumptionDelayed(active.request(), code, timeLeft))));
   }
 
-  /** Returns whether a code speaks of the instances that are known, and not of a rule. */
+  /** Returns whether a code states that no other instance can be used. */
   private static boolean withoutInstance(DispatchRefusal.Code code) {
-    return code != DispatchRefusal.Code.NO_ROOM && code != DispatchRefusal.Code.QUARANTINED;
+    return code == DispatchRefusal.Code.NO_INSTANCE
+        || code == DispatchRefusal.Code.ADAPTER_UNAVAILABLE;
   }
 
   private static Duration retryDelay(int attempts) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.parsleyhead.core.api.MonotonicTime;
 
 /** One group for each place in docs/design/answers.md that the core decides. */
@@ -167,4 +169,152 @@
       assertFinishes(second);
     }
   }
+
+  @Nested
+  @DisplayName("and one of whose events fails to be handled")
+  class EventFails {
+
+    private void assertOnlyLogged(List<DispatchEffect> effects) {
+      only(effects, DispatchEffect.EventFailed.class);
+      assertEquals(1, effects.size(), effects::toString);
+    }
+
+    @Test
+    @DisplayName("goes on if that is its start, which is not forgotten")
+    void start() {
+      DispatchEffect.Send send = sent("/chat/x");
+      assertOnlyLogged(host.fail(started(send)));
+      assertFalse(contains(host.wake(firstEffects), DispatchEffect.WithdrawAttempt.class));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("is sent again after the end of its server although its start failed")
+    void startAndBreak() {
+      DispatchEffect.Send send = sent("/chat/x");
+      host.fail(started(send));
+      host.exhaustBudget("engine");
+      wakeUntilSent(breakOff(send));
+    }
+
+    @Test
+    @DisplayName("goes on if that is its silence")
+    void silence() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertOnlyLogged(host.fail(new DispatchEvent.StreamSilent(send.request().key(), 1)));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("goes on if that is the news that its attempt was kept")
+    void kept() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertOnlyLogged(host.fail(new DispatchEvent.AttemptKept(send.request().key(), 1)));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("goes on if that is a wake, also if its start is not known yet")
+    void wake() {
+      DispatchEffect.Send send = sent("/chat/x");
+      List<DispatchEffect> effects = host.fail(host.awaitWake(firstEffects));
+      assertGoesOn(effects);
+      only(effects, DispatchEffect.WakeAfter.class);
+      host.apply(started(send));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("goes on if that is a former wake, without another one")
+    void formerWake() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertOnlyLogged(host.fail(new DispatchEvent.Wake(send.request().key(), 0)));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("ends at its deadline after a wake failed")
+    void deadlineAfterWake() {
+      begun("/chat/x");
+      List<DispatchEffect> effects = host.fail(host.awaitWake(firstEffects));
+      only(effects, DispatchEffect.EventFailed.class);
+      List<DispatchEffect> next = host.wake(effects);
+      while (!contains(next, DispatchEffect.Abort.class)) {
+        assertGoesOn(next);
+        next = host.wake(next);
+      }
+      only(next, DispatchEffect.CancelAttempt.class);
+      assertEquals(DEADLINE, host.now().since(receivedAt));
+      assertEquals(0, host.state().activeRequests());
+    }
+
+    @Test
+    @DisplayName("waits on and ends at its deadline if each wake fails")
+    void deadlineIfEachWakeFails() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      assertEndsAtDeadline(breakOff(send), host::fail);
+    }
+
+    @Test
+    @DisplayName("waits on for its next server after a wake failed")
+    void waitsOn() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      List<DispatchEffect> effects = host.fail(host.awaitWake(breakOff(send)));
+      only(effects, DispatchEffect.EventFailed.class);
+      wakeUntilSent(effects);
+    }
+
+    @Test
+    @DisplayName("is only released if that is its complete end, since its caller has everything")
+    void completeEnd() {
+      DispatchEffect.Send send = begun("/chat/x");
+      List<DispatchEffect> effects = host.fail(ended(send, AttemptOutcome.COMPLETED));
+      assertGoesOn(effects);
+      only(effects, DispatchEffect.EventFailed.class);
+      only(effects, DispatchEffect.Finished.class);
+      assertEquals(0, host.state().activeRequests());
+      assertEquals(Map.of(), host.state().sentLoads());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = AttemptOutcome.class,
+        names = {"BROKEN", "WITHDRAWN"})
+    @DisplayName("is sent again if that is the end of a server, with a run left")
+    void endWithRunLeft(AttemptOutcome outcome) {
+      DispatchEffect.Send send = begun("/chat/x");
+      List<DispatchEffect> effects = host.fail(ended(send, outcome));
+      only(effects, DispatchEffect.EventFailed.class);
+      assertEquals(Map.of(), host.state().sentLoads());
+      assertEquals(2, wakeUntilSent(effects).attempt());
+    }
+
+    @Test
+    @DisplayName("is sent again if that is the end of a server, and its start was not reported")
+    void endWithoutReportedStart() {
+      DispatchEffect.Send send = sent("/chat/x");
+      wakeUntilSent(host.fail(ended(send, AttemptOutcome.BROKEN)));
+    }
+
+    @Test
+    @DisplayName("is aborted if that is the end of a server, with no run left")
+    void endWithoutRunLeft() {
+      List<DispatchEffect> effects = host.fail(ended(begun("/audit/x"), AttemptOutcome.BROKEN));
+      only(effects, DispatchEffect.EventFailed.class);
+      only(effects, DispatchEffect.Abort.class);
+      assertEquals(0, host.state().activeRequests());
+      assertEquals(Map.of(), host.state().sentLoads());
+    }
+
+    @Test
+    @DisplayName("goes on if that is the end of a former attempt")
+    void formerEnd() {
+      DispatchEffect.Send first = begun("/chat/x");
+      DispatchEffect.Send second = only(breakOff(first), DispatchEffect.Send.class);
+      assertOnlyLogged(host.fail(ended(first, AttemptOutcome.BROKEN)));
+      assertFinishes(second);
+    }
+  }
 }
