A withdrawn request that was never written has not run

UpstreamClient.withdraw reported every silent attempt as withdrawn, also one whose connection was still being opened. The duty counts such an attempt as a possible run, so a stream whose route allows two runs was broken off when its only run ended: "broken_off reason=UPSTREAM_FAILED ... possible_runs=2 left_ms=3271" after one server had received the request. The log shows it by a send_ended line with outcome=WITHDRAWN and no connection.

It is met where the 400 ms of a connection attempt end after the check for silence, which an event loop that runs late makes likely, and at each withdrawal for a quarantine.

The attempt now ends as not sent. The new test printed "expected: <NOT_SENT> but was: <WITHDRAWN>" before. The test of an attempt without a response withdrew it without waiting for the server, at times before the connection was open; it now waits until the server has the request.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -105,6 +105,11 @@
         MessageHeads.request(exchange.head(), exchange.body(), headers), channel.voidPromise());
   }
 
+  /** Returns whether the request was written to a connection. */
+  boolean written() {
+    return connection != null;
+  }
+
   /** Ends the attempt before anything of the request was written. */
   void endUnsent(String reason) {
     end(new AttemptResult(AttemptOutcome.NOT_SENT, 0, false, false, Optional.empty(), reason));
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -97,8 +97,9 @@
   }
 
   /**
-   * Ends an attempt whose server is silent. Keeps it if the server has answered meanwhile. Does
-   * nothing if it has ended, since the event that reports this is on its way.
+   * Ends an attempt whose server is silent, which has not run if its connection was not open yet.
+   * Keeps it if the server has answered meanwhile. Does nothing if it has ended, since the event
+   * that reports this is on its way.
    */
   public void withdraw(DispatchEffect.WithdrawAttempt withdraw) {
     UpstreamAttempt attempt = activeAttempts.get(withdraw.request().key());
@@ -114,7 +115,7 @@
     attemptEnded(
         attempt,
         new AttemptResult(
-            AttemptOutcome.WITHDRAWN,
+            attempt.written() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT,
             0,
             withdraw.answering(),
             false,
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/WithdrawnAttemptTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/WithdrawnAttemptTests.java
@@ -77,9 +77,11 @@
   @Test
   @DisplayName("ends and closes its connection if nothing of a response has come")
   void endsWithoutResponse() throws Exception {
-    try (FakeRawServer server = new FakeRawServer((identifier, output) -> {});
+    CountDownLatch received = new CountDownLatch(1);
+    try (FakeRawServer server = new FakeRawServer((identifier, output) -> received.countDown());
         ForwardingHost host = new ForwardingHost(server.port());
         Socket caller = host.request("/stream", "r")) {
+      assertTrue(received.await(20, TimeUnit.SECONDS));
       host.withdraw(host.nextRequest(), false);
       AttemptResult result = host.nextEnd().result();
       assertEquals(AttemptOutcome.WITHDRAWN, result.outcome());
@@ -127,4 +129,18 @@
       assertTrue(caller.isConnected());
     }
   }
+
+  /** A request that was never written used up the run that its stream needed later. */
+  @Test
+  @DisplayName("has not run if its connection was not open yet")
+  void hasNotRunWithoutConnection() throws Exception {
+    try (FullBacklog server = new FullBacklog();
+        ForwardingHost host = new ForwardingHost(server.port());
+        Socket caller = host.request("/stream", "r")) {
+      host.withdraw(host.nextRequest(), false);
+      AttemptResult result = host.nextEnd().result();
+      assertEquals(AttemptOutcome.NOT_SENT, result.outcome());
+      assertTrue(caller.isConnected());
+    }
+  }
 }
