The event loop decides whether an answer has ended

At its deadline the duty gives a request up; if the end of the answer is on its way to the duty then, the executor logged "send_cancelled" and "broken_off reason=TIMED_OUT" for a request whose caller had the whole answer, and counted a response as aborted. Callers lost nothing, but the figure that operators watch for lost answers was wrong, and so was the log of each such request. The same held for a caller who had left.

The exchange is owned by the event loop: an exchange that has ended is only removed, with the line already_answered, and one whose caller has left with the line caller_left; nothing is counted. A cancelled attempt is logged only if there was one to cancel.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -24,7 +24,8 @@
  * Executes the effects of the dispatch duty and passes events of callers and attempts to it.
  *
  * <p>Effects are accepted on the dispatch duty; exchanges and upstreams are accessed only on the
- * event loop.
+ * event loop, which decides whether an exchange has ended: a decision of the duty that crosses the
+ * end of an answer is logged and changes nothing.
  */
 final class DispatchEffectExecutor implements Consumer<DispatchEffect>, CallerListener {
 
@@ -127,15 +128,7 @@
     } else if (effect instanceof DispatchEffect.Refuse refuse) {
       refuse(refuse);
     } else if (effect instanceof DispatchEffect.CancelAttempt cancel) {
-      upstreams.cancel(cancel.request().key(), cancel.attempt());
-      LOG.request(
-          "send_cancelled",
-          "request",
-          cancel.request().identifier(),
-          "attempt",
-          cancel.attempt(),
-          "reason",
-          cancel.reason());
+      cancelAttempt(cancel);
     } else if (effect instanceof DispatchEffect.WithdrawAttempt withdraw) {
       upstreams.withdraw(withdraw);
     } else if (effect instanceof DispatchEffect.ResumptionDelayed delayed) {
@@ -150,7 +143,8 @@
     } else if (effect instanceof DispatchEffect.DeliverBufferedResponse deliver) {
       deliverBufferedResponse(deliver);
     } else if (effect instanceof DispatchEffect.Abort abort) {
-      breakOff(abort.request(), abort.reason(), abort.inputs());
+      removeOpenExchange(abort.request(), abort.reason())
+          .ifPresent(exchange -> breakOff(exchange, abort.reason(), abort.inputs()));
     } else if (effect instanceof DispatchEffect.EventFailed failed) {
       metrics.dutyFailed("dispatch");
       LOG.failure(
@@ -198,11 +192,27 @@
     }
   }
 
+  private void cancelAttempt(DispatchEffect.CancelAttempt cancel) {
+    if (upstreams.cancel(cancel.request().key(), cancel.attempt())) {
+      LOG.request(
+          "send_cancelled",
+          "request",
+          cancel.request().identifier(),
+          "attempt",
+          cancel.attempt(),
+          "reason",
+          cancel.reason());
+    }
+  }
+
   private void refuse(DispatchEffect.Refuse refuse) {
     DispatchRefusal refusal = refuse.refusal();
-    Exchange known = exchanges.get(refuse.request().key());
-    if (known != null && known.responseStarted()) {
-      breakOff(refuse.request(), refusal.code().name(), refuse.inputs());
+    Optional<Exchange> open = removeOpenExchange(refuse.request(), refusal.code().name());
+    if (open.isEmpty()) {
+      return;
+    }
+    if (open.get().responseStarted()) {
+      breakOff(open.get(), refusal.code().name(), refuse.inputs());
       return;
     }
     LOG.request(
@@ -216,34 +226,62 @@
         "inputs",
         refuse.inputs());
     metrics.requestRefused(refusal.code());
-    removeExchange(refuse.request().key())
-        .ifPresent(
-            exchange ->
-                exchange.respond(
-                    HttpResponseStatus.valueOf(refusal.code().status()),
-                    dialect.refusalHeaders(refuse.request(), refusal),
-                    NO_CONTENT));
+    open.get()
+        .respond(
+            HttpResponseStatus.valueOf(refusal.code().status()),
+            dialect.refusalHeaders(refuse.request(), refusal),
+            NO_CONTENT);
   }
 
   private void deliverBufferedResponse(DispatchEffect.DeliverBufferedResponse deliver) {
-    Exchange known = exchanges.get(deliver.request().key());
-    if (known != null && known.responseStarted()) {
-      breakOff(deliver.request(), DispatchRefusal.Code.UPSTREAM_FAILED.name(), "");
+    Optional<Exchange> open = removeOpenExchange(deliver.request(), "failure");
+    if (open.isEmpty()) {
+      return;
+    }
+    if (open.get().responseStarted()) {
+      breakOff(open.get(), DispatchRefusal.Code.UPSTREAM_FAILED.name(), "");
       return;
     }
     LOG.request(
         "failure_delivered", "request", deliver.request().identifier(), "status", deliver.status());
     metrics.failureDelivered();
-    removeExchange(deliver.request().key()).ifPresent(Exchange::deliverBufferedResponse);
+    open.get().deliverBufferedResponse();
   }
 
   /** Closes the connection to a caller whose response has started and cannot be completed. */
-  private void breakOff(ServingRequest request, String reason, String inputs) {
-    removeExchange(request.key()).ifPresent(Exchange::abort);
-    LOG.request("broken_off", "request", request.identifier(), "reason", reason, "inputs", inputs);
+  private void breakOff(Exchange exchange, String reason, String inputs) {
+    exchange.abort();
+    LOG.request(
+        "broken_off",
+        "request",
+        exchange.request().identifier(),
+        "reason",
+        reason,
+        "inputs",
+        inputs);
     metrics.responseAborted();
   }
 
+  /**
+   * Removes the exchange of a request that the duty has ended; empty if the exchange has ended by
+   * itself meanwhile, which the duty does not know of yet.
+   *
+   * @param decision what the duty has decided, for the log
+   */
+  private Optional<Exchange> removeOpenExchange(ServingRequest request, String decision) {
+    Optional<Exchange> known = removeExchange(request.key());
+    Optional<Exchange> open = known.filter(exchange -> !exchange.ended());
+    if (open.isEmpty()) {
+      LOG.request(
+          known.isPresent() ? "already_answered" : "caller_left",
+          "request",
+          request.identifier(),
+          "decision",
+          decision);
+    }
+    return open;
+  }
+
   private Optional<Exchange> removeExchange(long key) {
     return Optional.ofNullable(exchanges.remove(key));
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -87,13 +87,19 @@
     return responseMemory.totalBytes();
   }
 
-  /** Closes the connection of an attempt; nothing more of it is forwarded or reported. */
-  public void cancel(long requestKey, int number) {
+  /**
+   * Closes the connection of an attempt; nothing more of it is forwarded or reported.
+   *
+   * @return false if the attempt has ended before
+   */
+  public boolean cancel(long requestKey, int number) {
     UpstreamAttempt attempt = activeAttempts.get(requestKey);
-    if (attempt != null && attempt.attemptNumber() == number) {
-      activeAttempts.remove(requestKey);
-      attempt.cancel();
+    if (attempt == null || attempt.attemptNumber() != number) {
+      return false;
     }
+    activeAttempts.remove(requestKey);
+    attempt.cancel();
+    return true;
   }
 
   /**
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeRawServer.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeRawServer.java
@@ -15,11 +15,11 @@
  *
  * <p>Thread-safe; one thread for each connection.
  */
-final class FakeRawServer implements AutoCloseable {
+public final class FakeRawServer implements AutoCloseable {
 
   /** Writes the answer to one request. Called on the thread of the connection. */
   @FunctionalInterface
-  interface Script {
+  public interface Script {
 
     /** Writes bytes to the caller; may go on until writing fails. */
     void answer(String identifier, OutputStream output) throws IOException;
@@ -30,13 +30,15 @@
   private final AtomicInteger connections = new AtomicInteger();
   private final AtomicInteger endedConnections = new AtomicInteger();
 
-  FakeRawServer(Script script) throws IOException {
+  /** Creates a server that answers each request by a script. */
+  public FakeRawServer(Script script) throws IOException {
     this.script = script;
     this.listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     start(this::accept);
   }
 
-  int port() {
+  /** Returns the port. */
+  public int port() {
     return listener.getLocalPort();
   }
 
