--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -87,18 +87,25 @@
     return responseMemory.totalBytes();
   }
 
-  /** Closes the connection of an attempt; nothing more of it is forwarded or reported. */
-  public void cancel(long requestKey, int number) {
+  /**
+   * Closes the connection of an attempt; nothing more of it is forwarded or reported.
+   *
+   * @return false if the attempt has ended before
+   */
+  public boolean cancel(long requestKey, int number) {
     UpstreamAttempt attempt = activeAttempts.get(requestKey);
-    if (attempt != null && attempt.attemptNumber() == number) {
-      activeAttempts.remove(requestKey);
-      attempt.cancel();
+    if (attempt == null || attempt.attemptNumber() != number) {
+      return false;
     }
+    activeAttempts.remove(requestKey);
+    attempt.cancel();
+    return true;
   }
 
   /**
-   * Ends an attempt whose server is silent. Keeps it if the server has answered meanwhile. Does
-   * nothing if it has ended, since the event that reports this is on its way.
+   * Ends an attempt whose server is silent, which has not run if its connection was not open yet.
+   * Keeps it if the server has answered meanwhile. Does nothing if it has ended, since the event
+   * that reports this is on its way.
    */
   public void withdraw(DispatchEffect.WithdrawAttempt withdraw) {
     UpstreamAttempt attempt = activeAttempts.get(withdraw.request().key());
@@ -114,7 +121,7 @@
     attemptEnded(
         attempt,
         new AttemptResult(
-            AttemptOutcome.WITHDRAWN,
+            attempt.written() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT,
             0,
             withdraw.answering(),
             false,
