--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/ChannelExchange.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/ChannelExchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -42,6 +43,27 @@
     write(encoded, true);
   }
 
+  @Override
+  public void beginResponse(HttpResponseMessage response, int length) {
+    HttpResponse head =
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()));
+    setHeaders(head, response.headers());
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+    write(head, false);
+    if (length > 0) {
+      write(new DefaultHttpContent(Unpooled.wrappedBuffer(response.body(), 0, length)), false);
+    }
+  }
+
+  @Override
+  public void endResponse(HttpResponseMessage response, int sentLength) {
+    int length = response.body().length - sentLength;
+    write(
+        new DefaultLastHttpContent(Unpooled.wrappedBuffer(response.body(), sentLength, length)),
+        true);
+  }
+
   @Override
   public void beginStream(int status, List<HeaderField> headers) {
     HttpResponse response =
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/Exchange.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/http/Exchange.java
@@ -12,6 +12,12 @@
   /** Sends a complete response. */
   void respond(HttpResponseMessage response);
 
+  /** Sends the head of a complete response and the first bytes of its body. */
+  void beginResponse(HttpResponseMessage response, int length);
+
+  /** Sends the rest of a complete response, of whose body some bytes have been sent. */
+  void endResponse(HttpResponseMessage response, int sentLength);
+
   /** Sends the head of a streamed response. */
   void beginStream(int status, List<HeaderField> headers);
 
