A fault proxy takes no connections for some time

Two kinds: the kernel completes them and nobody accepts them, or its queue is full, so that it ignores requests for connections. The second is what a caller sees as a connection that times out.

--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/FaultProxy.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/proxy/FaultProxy.java
@@ -16,14 +16,18 @@
 /**
  * A TCP proxy that injects faults between callers and a target.
  *
- * <p>Thread-safe. Methods that open or close the listener block and must not be called from an
- * event loop. Each caller connection has its own connection to the target.
+ * <p>Thread-safe. Methods that open, close or change the listener block and must not be called from
+ * an event loop. Each caller connection has its own connection to the target.
  */
 public final class FaultProxy implements AutoCloseable {
 
+  /** Exceeds the connections that wait for an event loop at a time. */
+  private static final int BACKLOG = 64;
+
   private final String name;
   private final MonotonicClock clock;
   private final TcpListener listener;
+  private final QueueFiller queueFiller = new QueueFiller();
   private final Set<ProxyConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile Endpoint target;
   private volatile ProxyFault newConnectionFault;
@@ -49,7 +53,7 @@
     this.target = target;
     this.newConnectionFault = initialFault;
     this.clock = clock;
-    this.listener = new TcpListener(group, endpoint, this::accept);
+    this.listener = new TcpListener(group, endpoint, BACKLOG, this::accept);
   }
 
   /** Returns the name. */
@@ -99,8 +103,18 @@
     }
   }
 
+  /** Sets what happens to callers that open a connection; the open ones are not affected. */
+  public synchronized void setIntake(Intake intake) {
+    listener.setAccepting(intake == Intake.ACCEPTING);
+    queueFiller.close();
+    if (intake == Intake.IGNORING) {
+      queueFiller.fill(listener.endpoint(), 2 * BACKLOG);
+    }
+  }
+
   @Override
-  public void close() {
+  public synchronized void close() {
+    queueFiller.close();
     listener.close();
   }
 
--- a/parsleyhead-standin/src/main/java/org/parsleyhead/standin/tcp/TcpListener.java
+++ b/parsleyhead-standin/src/main/java/org/parsleyhead/standin/tcp/TcpListener.java
@@ -18,15 +18,17 @@
 /**
  * A TCP listener that can be closed and reopened.
  *
- * <p>Thread-safe. {@link #open()} and {@link #close()} block and must not be called from an event
- * loop. While the listener is closed, new connections are refused and no accepted one is open.
+ * <p>Thread-safe. Methods that open, close or change the listener block and must not be called from
+ * an event loop. While the listener is closed, new connections are refused and no accepted one is
+ * open.
  */
 public final class TcpListener {
 
-  private static final int BACKLOG = 4096;
+  private static final int DEFAULT_BACKLOG = 4096;
 
   private final EventLoopGroup group;
   private final Endpoint endpoint;
+  private final int backlog;
   private final Consumer<SocketChannel> initializer;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private Channel server;
@@ -39,8 +41,22 @@
    * @param initializer sets up the pipeline of each accepted connection, on its event loop
    */
   public TcpListener(EventLoopGroup group, Endpoint endpoint, Consumer<SocketChannel> initializer) {
+    this(group, endpoint, DEFAULT_BACKLOG, initializer);
+  }
+
+  /**
+   * Creates a closed listener with a queue of its own length.
+   *
+   * @param group the event loops of the connections
+   * @param endpoint the endpoint to bind
+   * @param backlog how many connections the kernel completes before they are accepted
+   * @param initializer sets up the pipeline of each accepted connection, on its event loop
+   */
+  public TcpListener(
+      EventLoopGroup group, Endpoint endpoint, int backlog, Consumer<SocketChannel> initializer) {
     this.group = group;
     this.endpoint = endpoint;
+    this.backlog = backlog;
     this.initializer = initializer;
   }
 
@@ -72,6 +88,20 @@
     }
   }
 
+  /**
+   * Sets whether connections are accepted. Others wait in the queue of the kernel; does nothing if
+   * the listener is closed, and a listener that is opened again accepts connections.
+   */
+  public synchronized void setAccepting(boolean accepting) {
+    if (server != null) {
+      Channel channel = server;
+      channel
+          .eventLoop()
+          .submit(() -> channel.config().setAutoRead(accepting))
+          .syncUninterruptibly();
+    }
+  }
+
   /** Closes the listener and all accepted connections; does nothing if the listener is closed. */
   public synchronized void close() {
     if (server == null) {
@@ -87,7 +117,7 @@
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_BACKLOG, backlog)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
