The soak plays silent servers and planned stops that overlap

Each has a draw of its own, so that the sequence of faults of a seed stays as it was; all checks and bounds stay.

New checks, by the records of callers, servers, signals and logs: no request that was taken after the signal of a planned stop is cut, and an answer that has begun ends by its last event, its caller, its deadline, its servers' end or the end of the process after its grace. A host that does not exit in time and other failures of the injection are now reported; they ended a worker silently.

Seeds of the short run can be set by soak.short.first and soak.short.count.

--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FaultSoakTests.java
@@ -39,8 +39,17 @@
     return LongStream.range(first, first + Long.getLong("soak.count", 50));
   }
 
+  /**
+   * Returns the seeds of short runs: consecutive ones if set by the properties {@code
+   * soak.short.first} and {@code soak.short.count}.
+   */
+  static LongStream shortSeeds() {
+    long first = Long.getLong("soak.short.first", 20261204);
+    return LongStream.range(first, first + Long.getLong("soak.short.count", 1));
+  }
+
   @ParameterizedTest
-  @ValueSource(longs = 20261204)
+  @MethodSource("shortSeeds")
   @Tag("known-red")
   @DisplayName("keep their guarantees in a short run")
   void keepGuaranteesBriefly(long seed) throws Exception {
@@ -85,7 +94,8 @@
       traffic.stop();
       List<CallerStandin.Outcome> outcomes = traffic.outcomes();
       double served = SoakChecks.servedShareSince(outcomes, recoveredAt);
-      List<String> violations = SoakChecks.findViolations(outcomes, fleet.ledger(), fleet.hosts());
+      List<String> violations =
+          SoakChecks.findViolations(outcomes, fleet.ledger(), fleet.hosts(), faults.serverEnds());
       System.out.printf(
           "soak seed=%d requests=%d runs=%d orders=%d served_afterwards=%.2f faults=%s"
               + " exit_statuses=%s violations=%s%n",
@@ -97,6 +107,7 @@
           faults.counts(),
           faults.exitStatuses(),
           violations);
+      assertEquals(List.of(), faults.failures(), "seed " + seed);
       assertEquals(List.of(), violations, "seed " + seed);
       assertTrue(
           faults.exitStatuses().stream().allMatch(status -> status == 0),
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakChecks.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakChecks.java
@@ -36,7 +36,7 @@
 
   /** Returns a description of each violated guarantee, with the observations that show it. */
   static List<String> findViolations(
-      List<Outcome> outcomes, RunLedger ledger, List<SoakFleet.Host> hosts) {
+      List<Outcome> outcomes, RunLedger ledger, List<SoakFleet.Host> hosts, ServerEnds serverEnds) {
     List<String> violations = new ArrayList<>();
     Map<String, List<RunLedger.Run>> runs =
         ledger.runs().stream().collect(Collectors.groupingBy(RunLedger.Run::request));
@@ -71,6 +71,9 @@
     }
     violations.addAll(findCompetingOrders(ledger.orders()));
     violations.addAll(findUnloadsInUse(outcomes, ledger, hosts));
+    List<HostHistory> histories = hosts.stream().map(SoakFleet.Host::history).toList();
+    violations.addAll(
+        new CutAnswerChecks(ledger.runs(), histories, serverEnds).findViolations(outcomes));
     return violations;
   }
 
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
@@ -10,7 +10,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.parsleyhead.platform.standin.AnswerPlan;
+import org.parsleyhead.platform.standin.PublishedDocuments;
+import org.parsleyhead.platform.standin.SilencePlan;
 import org.parsleyhead.standin.proxy.DirectionFault;
 import org.parsleyhead.standin.proxy.FaultProxy;
 import org.parsleyhead.standin.proxy.ProxyFault;
@@ -18,7 +22,9 @@
 /**
  * Injects random faults, drawn from a seed, from outside the processes. Several are in force at a
  * time, each on a host or server of its own; at least one host stays without a fault of its own.
- * Beside them, all plain servers together answer badly from time to time.
+ * Beside them, all plain servers together answer badly from time to time, sound servers fall silent
+ * and go on, hosts get SIGHUP, and the time limit of a route changes. Planned stops that overlap
+ * follow, one host after the other, among silent servers. Each of these has a draw of its own.
  *
  * <p>{@link #run} is confined to one thread and injects the faults on worker threads; the shared
  * state is guarded by the monitor of this object.
@@ -30,7 +36,20 @@
   private static final int MAXIMUM_FAULT_MILLISECONDS = 4_000;
   private static final int MAXIMUM_PAUSE_MILLISECONDS = 1_500;
 
+  /** Draws beside the first one, so that its sequence depends on none of them. */
+  private static final int SILENCE_DRAW = 1;
+
+  private static final int ANSWER_DRAW = 2;
+  private static final int CHANGE_DRAW = 3;
+  private static final int STOP_DRAW = 4;
+
+  private static final Duration LONG_STREAM_TIMEOUT = Duration.ofSeconds(12);
+  private static final int MAXIMUM_CHANGE_INTERVAL_MILLISECONDS = 1_000;
+
   private final SoakFleet fleet;
+  private final long seed;
+  private final ServerEnds serverEnds = new ServerEnds();
+  private final List<Throwable> failures = new ArrayList<>();
   private final Random random;
   private final Map<String, Integer> faultCounts = new TreeMap<>();
   private final List<SoakFleet.Host> freeHosts;
@@ -40,6 +59,7 @@
 
   SoakFaults(SoakFleet fleet, long seed) {
     this.fleet = fleet;
+    this.seed = seed;
     this.random = new Random(seed);
     this.freeHosts = new ArrayList<>(fleet.hosts());
   }
@@ -54,26 +74,56 @@
     return List.copyOf(exitStatuses);
   }
 
-  /** Injects faults for a duration and returns when all have been cleared. */
+  /** Returns when the connections to servers were ended from the side of the server. */
+  ServerEnds serverEnds() {
+    return serverEnds;
+  }
+
+  /** Returns the failures of the injection itself, such as a host that does not exit. */
+  synchronized List<Throwable> failures() {
+    return List.copyOf(failures);
+  }
+
+  /** Injects faults for a duration, then planned stops, and returns when all have been cleared. */
   void run(Duration duration) throws InterruptedException {
+    fleet.fallSilentWhileAnswering(new RandomSilences(seedOf(ANSWER_DRAW)));
+    AtomicBoolean disturbing = new AtomicBoolean(true);
+    ExecutorService beside = Executors.newFixedThreadPool(2);
+    SilentServers silentServers = new SilentServers(fleet, seedOf(SILENCE_DRAW), this::count);
+    Random changes = new Random(seedOf(CHANGE_DRAW));
+    beside.execute(() -> repeat(disturbing::get, silentServers::silenceAndGoOn));
+    beside.execute(() -> repeat(disturbing::get, () -> changeAndHangUp(changes)));
+    injectRandomFaults(duration);
+    new StopSeries(fleet.hosts(), new Random(seedOf(STOP_DRAW)), this::stopInSeries).run();
+    disturbing.set(false);
+    beside.shutdown();
+    beside.awaitTermination(60, TimeUnit.SECONDS);
+    fleet.changeStreamTimeout(PublishedDocuments.STREAM_TIMEOUT);
+    fleet.fallSilentWhileAnswering(() -> SilencePlan.NONE);
+  }
+
+  private void injectRandomFaults(Duration duration) throws InterruptedException {
     ExecutorService executor = Executors.newFixedThreadPool(CONCURRENT_FAULTS + 1);
     long end = System.nanoTime() + duration.toNanos();
+    BooleanSupplier timeLeft = () -> System.nanoTime() < end;
     for (int worker = 0; worker < CONCURRENT_FAULTS; worker++) {
       executor.execute(
-          () -> {
-            while (System.nanoTime() < end) {
-              injectRandomFault();
-              sleep(randomInteger(MINIMUM_FAULT_MILLISECONDS));
-            }
-          });
+          () ->
+              repeat(
+                  timeLeft,
+                  () -> {
+                    injectRandomFault();
+                    sleep(randomInteger(MINIMUM_FAULT_MILLISECONDS));
+                  }));
     }
     executor.execute(
-        () -> {
-          while (System.nanoTime() < end) {
-            stutter();
-            sleep(randomInteger(MAXIMUM_PAUSE_MILLISECONDS));
-          }
-        });
+        () ->
+            repeat(
+                timeLeft,
+                () -> {
+                  stutter();
+                  sleep(randomInteger(MAXIMUM_PAUSE_MILLISECONDS));
+                }));
     executor.shutdown();
     executor.awaitTermination(duration.toSeconds() + 60, TimeUnit.SECONDS);
   }
@@ -86,13 +136,52 @@
       case 4 -> withFreeHost("store_cut", host -> applyStoreFault(host, ProxyFault.CUT));
       case 5 -> withFreeHost("store_fault", host -> applyStoreFault(host, randomProxyFault()));
       case 6, 7 ->
-          withFreeServer(
-              "server_fault", server -> applyProxyFault(server.proxy(), randomProxyFault()));
+          withFreeServer("server_fault", server -> applyServerFault(server, randomProxyFault()));
       case 8 -> withFreeServer("server_leaves", this::replaceServer);
       default -> issueAndRevokeKey();
     }
   }
 
+  /** Sends SIGHUP to hosts, also to those that stop, and changes the time limit of streams. */
+  private void changeAndHangUp(Random draw) {
+    SoakFleet.Host host = fleet.hosts().get(draw.nextInt(fleet.hosts().size()));
+    count("hangup");
+    host.signalIfStarted("HUP");
+    if (draw.nextBoolean()) {
+      count("timeout_change");
+      fleet.changeStreamTimeout(
+          draw.nextBoolean() ? PublishedDocuments.STREAM_TIMEOUT : LONG_STREAM_TIMEOUT);
+    }
+    sleep(draw.nextInt(MAXIMUM_CHANGE_INTERVAL_MILLISECONDS));
+  }
+
+  private void repeat(BooleanSupplier condition, Runnable action) {
+    while (condition.getAsBoolean() && attempt(action)) {
+      // The action itself takes its time.
+    }
+  }
+
+  /** Runs an action, records its failure and returns whether there was none. */
+  private boolean attempt(Runnable action) {
+    try {
+      action.run();
+      return true;
+    } catch (RuntimeException exception) {
+      synchronized (this) {
+        failures.add(exception);
+      }
+      return false;
+    }
+  }
+
+  private synchronized void count(String kind) {
+    faultCounts.merge(kind, 1, Integer::sum);
+  }
+
+  private long seedOf(int draw) {
+    return seed * 31 + draw;
+  }
+
   private synchronized int randomInteger(int bound) {
     return random.nextInt(bound);
   }
@@ -131,6 +220,15 @@
     proxy.applyFault(ProxyFault.NONE);
   }
 
+  private void applyServerFault(SoakFleet.Server server, ProxyFault fault) {
+    if (fault.toCaller().resetAfterBytes().isPresent()) {
+      serverEnds.during(
+          server.standin().identifier(), () -> applyProxyFault(server.proxy(), fault));
+    } else {
+      applyProxyFault(server.proxy(), fault);
+    }
+  }
+
   private void applyStoreFault(SoakFleet.Host host, ProxyFault fault) {
     host.beginDisturbance();
     applyProxyFault(host.storeProxy(), fault);
@@ -139,18 +237,24 @@
 
   private static void pauseProcess(SoakFleet.Host host, Duration duration) {
     host.beginDisturbance();
-    host.signal("STOP");
-    sleep(duration.toMillis());
-    host.signal("CONT");
+    host.interruptedDuring(
+        () -> {
+          host.signal("STOP");
+          sleep(duration.toMillis());
+          host.signal("CONT");
+        });
     host.endDisturbance();
   }
 
   private void killAndRestart(SoakFleet.Host host) {
     host.beginDisturbance();
-    host.kill();
-    sleep(randomInteger(1_500));
-    host.start(false);
-    host.awaitStarted();
+    host.interruptedDuring(
+        () -> {
+          host.kill();
+          sleep(randomInteger(1_500));
+          host.start(false);
+          host.awaitStarted();
+        });
     sleep(2_000);
     host.endDisturbance();
   }
@@ -161,19 +265,30 @@
     synchronized (this) {
       exitStatuses.add(status);
     }
-    sleep(randomInteger(1_000));
-    host.start(false);
-    host.awaitStarted();
+    host.interruptedDuring(
+        () -> {
+          sleep(randomInteger(1_000));
+          host.start(false);
+          host.awaitStarted();
+        });
     sleep(2_000);
     host.endDisturbance();
   }
 
+  private void stopInSeries(SoakFleet.Host host) {
+    attempt(
+        () -> {
+          count("stop_in_series");
+          stopAndRestart(host);
+        });
+  }
+
   private void replaceServer(SoakFleet.Server server) {
     fleet.addServer(server.standin().engine());
     sleep(1_000);
     fleet.announceLeaving(server);
     sleep(3_500);
-    fleet.removeServer(server);
+    serverEnds.during(server.standin().identifier(), () -> fleet.removeServer(server));
   }
 
   /** Lets all plain servers refuse and fail requests and send second answers for some time. */
@@ -232,7 +347,7 @@
     }
   }
 
-  private static void sleep(long milliseconds) {
+  static void sleep(long milliseconds) {
     try {
       new CountDownLatch(1).await(milliseconds, TimeUnit.MILLISECONDS);
     } catch (InterruptedException exception) {
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
@@ -13,13 +13,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.parsleyhead.core.api.Endpoint;
+import org.parsleyhead.integration.fleet.FleetException;
 import org.parsleyhead.integration.fleet.Ports;
 import org.parsleyhead.integration.fleet.ProgramProcess;
 import org.parsleyhead.platform.standin.PublishedDocuments;
 import org.parsleyhead.platform.standin.RunLedger;
 import org.parsleyhead.platform.standin.ServerStandin;
+import org.parsleyhead.platform.standin.SilencePlan;
 import org.parsleyhead.platform.standin.StoreStandin;
 import org.parsleyhead.runtime.duty.MonotonicClock;
 import org.parsleyhead.standin.proxy.FaultProxy;
@@ -37,6 +44,7 @@
   private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
   private static final long START_CHECK_MILLISECONDS = 50;
   private static final int PLAIN_SERVERS = 2;
+  private static final Pattern SENT_REQUEST = Pattern.compile("event=sent request=(\\S+)");
 
   private final Path root = Path.of("..").toAbsolutePath().normalize();
   private final Path directory;
@@ -47,6 +55,8 @@
   private final List<Host> hosts = new ArrayList<>();
   private final Map<String, Server> servers = new HashMap<>();
   private final Map<String, String> accounts = new HashMap<>();
+  private Supplier<SilencePlan> silences = () -> SilencePlan.NONE;
+  private Duration streamTimeout = PublishedDocuments.STREAM_TIMEOUT;
   private long catalogueVersion;
   private int nextServerNumber;
 
@@ -95,12 +105,25 @@
     publishCatalogue();
   }
 
+  /** Changes the time limit of the streaming route. */
+  synchronized void changeStreamTimeout(Duration timeout) {
+    streamTimeout = timeout;
+    publishCatalogue();
+  }
+
+  /** Sets where servers fall silent while they answer, also those that are added later. */
+  synchronized void fallSilentWhileAnswering(Supplier<SilencePlan> plans) {
+    silences = plans;
+    servers.values().forEach(server -> server.standin().fallSilentWhileAnswering(plans));
+  }
+
   /** Starts a server behind a proxy and announces it. */
   synchronized void addServer(boolean engine) {
     List<String> allocated = Ports.allocate(2);
     ServerStandin standin =
         new ServerStandin(
             group, Endpoint.parse(allocated.get(0)), "i-" + nextServerNumber++, engine, ledger);
+    standin.fallSilentWhileAnswering(silences);
     FaultProxy proxy =
         new FaultProxy(
             standin.identifier(),
@@ -150,7 +173,7 @@
     catalogueVersion += 3;
     store.write(
         PublishedDocuments.CATALOGUE_KEY,
-        Optional.of(PublishedDocuments.catalogue(catalogueVersion, accounts)));
+        Optional.of(PublishedDocuments.catalogue(catalogueVersion, accounts, streamTimeout)));
   }
 
   /** A server behind its proxy. Immutable and thread-safe. */
@@ -159,7 +182,8 @@
   /**
    * A gateway host: its current process, which can be restarted, and its own path to the store.
    *
-   * <p>Thread-safe. At most one fault is injected into a host at a time.
+   * <p>Thread-safe. At most one fault is injected into a host at a time; signals that change
+   * nothing may come beside it.
    */
   final class Host {
 
@@ -168,8 +192,10 @@
     private final List<String> seeds;
     private final FaultProxy storeProxy;
     private final List<long[]> disturbances = new ArrayList<>();
+    private final List<HostHistory.Stop> stops = new ArrayList<>();
+    private final List<HostHistory.Period> interruptions = new ArrayList<>();
+    private final List<ProgramProcess> processes = new ArrayList<>();
     private ProgramProcess process;
-    private int startCount;
 
     Host(String name, List<String> endpoints, List<String> seeds, Endpoint storeEndpoint) {
       this.name = name;
@@ -223,11 +249,12 @@
           ProgramProcess.start(
               root,
               "parsleyhead-gateway",
-              name + "-" + ++startCount,
+              name + "-" + (processes.size() + 1),
               writeSettings(firstStart),
               directory,
               List.of(),
               Map.of("PARSLEYHEAD_JAVA_OPTIONS", "-Xmx96m -Xss256k -XX:+UseSerialGC"));
+      processes.add(process);
     }
 
     /** Waits until the process logs that its ports are open. */
@@ -246,21 +273,65 @@
       }
     }
 
-    synchronized void signal(String signal) {
-      process.signal(signal);
+    void signal(String signal) {
+      current().signal(signal);
     }
 
-    synchronized void kill() {
-      process.kill();
+    /** Sends a signal, unless the process has not logged that it started or is gone. */
+    void signalIfStarted(String signal) {
+      ProgramProcess target = current();
+      try {
+        if (target.isAlive() && target.output().contains("event=started")) {
+          target.signal(signal);
+        }
+      } catch (FleetException exception) {
+        if (target.isAlive()) {
+          throw exception;
+        }
+      }
+    }
+
+    void kill() {
+      current().kill();
     }
 
     /** Requests a planned stop of the process and returns its exit status. */
-    synchronized int terminate() {
-      return process.terminate(STOP_TIMEOUT);
+    int terminate() {
+      long signalledAt = System.nanoTime();
+      int status = current().terminate(STOP_TIMEOUT);
+      synchronized (this) {
+        stops.add(new HostHistory.Stop(signalledAt, System.nanoTime()));
+      }
+      return status;
+    }
+
+    String output() {
+      return current().output();
+    }
+
+    /** Runs an action during which the process is paused or not there. */
+    void interruptedDuring(Runnable action) {
+      long from = System.nanoTime();
+      action.run();
+      synchronized (this) {
+        interruptions.add(new HostHistory.Period(from, System.nanoTime()));
+      }
+    }
+
+    /** Returns what happened to this host, and what the logs of its processes say. */
+    synchronized HostHistory history() {
+      Set<String> sent =
+          processes.stream()
+              .flatMap(each -> each.output().lines())
+              .map(SENT_REQUEST::matcher)
+              .filter(Matcher::find)
+              .map(matcher -> matcher.group(1))
+              .collect(Collectors.toSet());
+      return new HostHistory(callerEndpoint(), stops, interruptions, sent);
     }
 
-    synchronized String output() {
-      return process.output();
+    private synchronized ProgramProcess current() {
+      return process;
     }
 
     void close() {
