A test for each place in the core that could end an answer

One group of AnswerEndTests for each row of docs/design/answers.md that the core decides: what ends an answer that has begun, and what must not.

--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.parsleyhead.core.dispatch.DispatchFixture.ADAPTER;
 import static org.parsleyhead.core.dispatch.DispatchFixture.PART;
 import static org.parsleyhead.core.dispatch.DispatchFixture.only;
 import static org.parsleyhead.core.dispatch.DispatchFixture.sharedWork;
@@ -10,13 +11,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.serving.AccountLimits;
+import org.parsleyhead.core.serving.RequestLimits;
+import org.parsleyhead.core.serving.ServiceCatalogue;
+import org.parsleyhead.core.serving.ServiceDefinition;
+import org.parsleyhead.core.serving.ServiceRoute;
 
 /** One group for each place in docs/design/answers.md that the core decides. */
 @DisplayName("An answer that has begun")
@@ -101,6 +109,277 @@
     assertGoesOn(host.restrict(PART));
   }
 
+  @Nested
+  @DisplayName("ends")
+  class Ends {
+
+    @Test
+    @DisplayName("by its last event")
+    void byLastEvent() {
+      assertFinishes(begun("/chat/x"));
+    }
+
+    @Test
+    @DisplayName("if its caller leaves, and its attempt is cancelled")
+    void byCaller() {
+      DispatchEffect.Send send = begun("/chat/x");
+      List<DispatchEffect> effects =
+          host.apply(new DispatchEvent.CallerDisconnected(send.request().key()));
+      only(effects, DispatchEffect.CancelAttempt.class);
+      assertEquals(0, host.state().activeRequests());
+      assertEquals(Map.of(), host.state().sentLoads());
+    }
+
+    @Test
+    @DisplayName("if its caller leaves while it waits")
+    void byCallerWhileItWaits() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      List<DispatchEffect> effects = breakOff(send);
+      host.apply(new DispatchEvent.CallerDisconnected(send.request().key()));
+      assertEquals(0, host.state().activeRequests());
+      assertEquals(List.of(), host.wake(effects));
+    }
+
+    @Test
+    @DisplayName("at its deadline, at a server that goes on")
+    void atDeadline() {
+      begun("/chat/x");
+      List<DispatchEffect> effects = host.wake(host.wake(firstEffects));
+      only(effects, DispatchEffect.CancelAttempt.class);
+      only(effects, DispatchEffect.Abort.class);
+      assertEquals(DEADLINE, host.now().since(receivedAt));
+      assertEquals(0, host.state().activeRequests());
+    }
+
+    @Test
+    @DisplayName("with its server if its route is not repeatable")
+    void withServer() {
+      only(breakOff(begun("/audit/x")), DispatchEffect.Abort.class);
+    }
+
+    @Test
+    @DisplayName("with the server of its last run")
+    void withLastRun() {
+      DispatchEffect.Send second = only(breakOff(begun("/chat/x")), DispatchEffect.Send.class);
+      only(breakOff(second), DispatchEffect.Abort.class);
+    }
+
+    @Test
+    @DisplayName("with the server of its last run if that sends an error instead")
+    void withErrorOfLastRun() {
+      DispatchEffect.Send second = only(breakOff(begun("/chat/x")), DispatchEffect.Send.class);
+      only(
+          host.end(second, AttemptOutcome.FAILED, true),
+          DispatchEffect.DeliverBufferedResponse.class);
+    }
+  }
+
+  @Nested
+  @DisplayName("at a silent server")
+  class Silent {
+
+    private DispatchEvent silent(DispatchEffect.Send send) {
+      return new DispatchEvent.StreamSilent(send.request().key(), send.attempt());
+    }
+
+    @Test
+    @DisplayName("goes on if its first event crosses the check for silence")
+    void crossing() {
+      DispatchEffect.Send send = sent("/chat/x");
+      List<DispatchEffect> checked = host.wake(firstEffects);
+      assertGoesOn(checked);
+      assertFalse(only(checked, DispatchEffect.WithdrawAttempt.class).answering());
+      host.apply(started(send));
+      host.apply(new DispatchEvent.AttemptKept(send.request().key(), 1));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("is only asked back while another server can take it")
+    void isAskedBack() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertGoesOn(host.apply(silent(send)));
+      assertEquals(1, host.state().activeRequests());
+      assertFinishes(send);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/chat/x", "/audit/x"})
+    @DisplayName("stays there while no other server can take it, or it may not run again")
+    void stays(String path) {
+      host.announce(
+          DispatchFixture.instance("e1", "engine", true, 2, Map.of(ADAPTER, 1L)),
+          DispatchFixture.instance("e2", "engine", false, 2, Map.of(ADAPTER, 1L)));
+      DispatchEffect.Send send = begun(path);
+      for (int report = 0; report < 5; report++) {
+        assertEquals(List.of(), host.apply(silent(send)));
+      }
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("stays there while the retry budget is spent")
+    void staysWithoutBudget() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      assertEquals(List.of(), host.apply(silent(send)));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("waits if it was withdrawn and no server can take it any more")
+    void waitsAfterWithdrawal() {
+      DispatchEffect.Send send = begun("/chat/x");
+      only(host.apply(silent(send)), DispatchEffect.WithdrawAttempt.class);
+      host.apply(new DispatchEvent.InstanceRemoved("e1"));
+      host.apply(new DispatchEvent.InstanceRemoved("e2"));
+      host.advance(Duration.ofSeconds(2));
+      List<DispatchEffect> effects = host.end(send, AttemptOutcome.WITHDRAWN, true);
+      assertGoesOn(effects);
+      host.announce(DispatchFixture.engine("e3"));
+      wakeUntilSent(effects);
+    }
+  }
+
+  @Nested
+  @DisplayName("while the configuration changes")
+  class ConfigurationChanges {
+
+    private List<DispatchEffect> change(
+        List<ServiceRoute> routes, List<ServiceDefinition> services, List<AccountLimits> accounts) {
+      return host.apply(
+          new DispatchEvent.CatalogueChanged(
+              new ServiceCatalogue(
+                  host.state().catalogue().version() + 1,
+                  routes,
+                  services,
+                  RequestLimits.INITIAL,
+                  accounts)));
+    }
+
+    @Test
+    @DisplayName("goes on although its key is revoked, and is resumed")
+    void keyRevoked() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertEquals(
+          List.of(), change(DispatchFixture.routes(), DispatchFixture.services(), List.of()));
+      assertFinishes(wakeUntilSent(breakOff(send)));
+    }
+
+    @Test
+    @DisplayName("goes on although its account may send nothing more, and is resumed")
+    void rateLowered() {
+      DispatchEffect.Send send = begun("/chat/x");
+      List<AccountLimits> lowered = List.of(DispatchFixture.account(0.001));
+      assertEquals(
+          List.of(), change(DispatchFixture.routes(), DispatchFixture.services(), lowered));
+      assertFinishes(wakeUntilSent(breakOff(send)));
+    }
+
+    @Test
+    @DisplayName("goes on although its route is removed, and is resumed")
+    void routeRemoved() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertEquals(
+          List.of(),
+          change(List.of(), DispatchFixture.services(), List.of(DispatchFixture.account(10_000))));
+      assertFinishes(wakeUntilSent(breakOff(send)));
+    }
+
+    @Test
+    @DisplayName("goes on although its service is removed")
+    void serviceRemoved() {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertEquals(List.of(), change(List.of(), List.of(), List.of()));
+      assertFinishes(send);
+    }
+  }
+
+  @Nested
+  @DisplayName("while servers and hosts come and go")
+  class ServersChange {
+
+    @Test
+    @DisplayName("goes on although its server is removed, drains or is announced anew")
+    void serverChanges() {
+      DispatchEffect.Send send = begun("/chat/x");
+      String server = send.instance().identifier();
+      assertEquals(List.of(), host.apply(new DispatchEvent.InstanceRemoved(server)));
+      host.advance(Duration.ofSeconds(3));
+      assertEquals(List.of(), host.apply(new DispatchEvent.Tick()));
+      host.announce(DispatchFixture.instance(server, "engine", true, 2, Map.of()));
+      assertEquals(
+          List.of(),
+          host.apply(
+              new DispatchEvent.InstanceNotice(
+                  send.instance(), true, Optional.of(Duration.ofSeconds(9)))));
+      assertFinishes(send);
+    }
+
+    @Test
+    @DisplayName("waits while all servers refuse requests for longer than its time")
+    void serversRefuse() {
+      DispatchEffect.Send send = begun("/chat/x");
+      for (String server : List.of("e1", "e2")) {
+        host.apply(
+            new DispatchEvent.InstanceNotice(
+                DispatchFixture.engine(server), false, Optional.of(Duration.ofSeconds(60))));
+      }
+      assertEndsAtDeadline(breakOff(send), host::apply);
+    }
+
+    @Test
+    @DisplayName("waits while the retry budget is spent")
+    void budgetSpent() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      assertFinishes(wakeUntilSent(breakOff(send)));
+    }
+
+    @Test
+    @DisplayName("waits while hosts and owners change")
+    void hostsChange() {
+      DispatchEffect.Send send = begun("/chat/x");
+      host.exhaustBudget("engine");
+      List<DispatchEffect> effects = breakOff(send);
+      host.apply(new DispatchEvent.LiveHostsChanged(List.of("self"), 3));
+      List<DispatchEffect> changed =
+          host.apply(new DispatchEvent.InstanceOwnersChanged(Set.of(), Duration.ofSeconds(60)));
+      wakeUntilSent(contains(changed, DispatchEffect.WakeAfter.class) ? changed : effects);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+        value = AttemptOutcome.class,
+        names = {"NOT_SENT", "NO_ROOM", "MISDIRECTED"})
+    @DisplayName("waits until its deadline while its next servers do not run it, however often")
+    void notRun(AttemptOutcome outcome) {
+      List<DispatchEffect> effects = breakOff(begun("/chat/x"));
+      while (!contains(effects, DispatchEffect.Abort.class)) {
+        effects =
+            contains(effects, DispatchEffect.Send.class)
+                ? host.end(only(effects, DispatchEffect.Send.class), outcome, true)
+                : host.wake(effects);
+      }
+      assertFalse(host.now().since(receivedAt).compareTo(DEADLINE) < 0);
+    }
+  }
+
+  @Nested
+  @DisplayName("at a planned stop")
+  class PlannedStop {
+
+    @ParameterizedTest
+    @EnumSource(StopStage.class)
+    @DisplayName("goes on, and is resumed")
+    void goesOn(StopStage stage) {
+      DispatchEffect.Send send = begun("/chat/x");
+      assertEquals(List.of(), host.apply(new DispatchEvent.Stopping(stage)));
+      assertFinishes(wakeUntilSent(breakOff(send)));
+    }
+  }
+
   @Nested
   @DisplayName("with a trait that becomes restricted")
   class Restricted {
