A service that is removed does not end a stream that has begun

Callers saw their connection closed in the middle of a 200 if the server of their stream ended while its service was missing in the catalogue in force, also when the next version had it again. A configuration change is no reason to end an answer: the stream waits until the service is back or its deadline comes, like one without a server.

AnswerEndTests.ConfigurationChanges.serviceBack and serviceAway failed before: "aborted: [Abort[... reason=NO_ROOM ...]]" with all of its time left.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -9,7 +9,7 @@
  * Keeps a stream whose attempt has ended, and that no instance can resume now, until one can.
  *
  * <p>Stateless and thread-safe. A stream that has started is given up only if it may not be sent
- * again, its service is gone, or its time has passed.
+ * again, or its time has passed. The catalogue has no say: a service that is gone may come back.
  */
 final class StreamResumption {
 
@@ -39,7 +39,7 @@
    */
   static Optional<Step<DispatchState, DispatchEffect>> await(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
-    if (!resumable(state, active, time)) {
+    if (!resumable(active, time)) {
       return Optional.empty();
     }
     Progress progress = active.progress().withoutLoadRequests();
@@ -71,10 +71,7 @@
     return RETRY_DELAY.multipliedBy(1L << Math.min(doublings, MAXIMUM_DOUBLINGS));
   }
 
-  private static boolean resumable(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    return active.progress().responseStarted()
-        && active.mayBeSentAgain()
-        && !active.expired(time)
-        && state.catalogue().service(active.service()).isPresent();
+  private static boolean resumable(ActiveRequest active, MonotonicTime time) {
+    return active.progress().responseStarted() && active.mayBeSentAgain() && !active.expired(time);
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -294,6 +294,29 @@
       assertEquals(List.of(), change(List.of(), List.of(), List.of()));
       assertFinishes(send);
     }
+
+    @Test
+    @DisplayName("waits after the end of its server until its removed service is back")
+    void serviceBack() {
+      DispatchEffect.Send send = begun("/chat/x");
+      change(List.of(), List.of(), List.of());
+      List<DispatchEffect> effects = breakOff(send);
+      assertGoesOn(effects);
+      effects = host.wake(effects);
+      change(
+          DispatchFixture.routes(),
+          DispatchFixture.services(),
+          List.of(DispatchFixture.account(10_000)));
+      assertFinishes(wakeUntilSent(effects));
+    }
+
+    @Test
+    @DisplayName("waits until its deadline if its service stays away")
+    void serviceAway() {
+      DispatchEffect.Send send = begun("/chat/x");
+      change(List.of(), List.of(), List.of());
+      assertEndsAtDeadline(breakOff(send), host::apply);
+    }
   }
 
   @Nested
