Every send_ended line tells how long the attempt took

The log of an attempt has become an object with the start of the attempt, and its results are created in a class of their own.

logsConnectTimeout failed before: its line had no elapsed_ms.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -46,6 +46,7 @@
   private final ResponseMemory responseMemory;
   private final BiConsumer<UpstreamAttempt, AttemptResult> onEnd;
   private final EventStream stream = new EventStream(this::reportSilence);
+  private final AttemptLog log;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private UpstreamConnection connection;
   private HttpResponse response;
@@ -72,6 +73,7 @@
     this.idlePool = idlePool;
     this.responseMemory = responseMemory;
     this.onEnd = onEnd;
+    this.log = new AttemptLog(send);
   }
 
   long requestKey() {
@@ -82,15 +84,14 @@
     return send.attempt();
   }
 
-  /** Logs an event with the identity of this attempt and of its connection, if it has one. */
-  void log(String event, Object... keysAndValues) {
-    AttemptLog.log(
-        send, event, connection == null ? keysAndValues : connection.describe(keysAndValues));
+  AttemptLog log() {
+    return log;
   }
 
   /** Writes the request to a connection. */
   void write(UpstreamConnection connected) {
     connection = connected;
+    log.connected(connected);
     reusedConnection = connected.hasCarriedRequest();
     Channel channel = connected.channel();
     if (cancelled || exchange.ended()) {
@@ -112,7 +113,7 @@
 
   /** Ends the attempt before anything of the request was written. */
   void endUnsent(String reason) {
-    end(new AttemptResult(AttemptOutcome.NOT_SENT, 0, false, false, Optional.empty(), reason));
+    end(AttemptResults.unsent(reason));
   }
 
   /**
@@ -217,7 +218,7 @@
     connection.responseIgnored();
     if (reusable) {
       reusable = false;
-      log(
+      log.event(
           "response_ignored",
           "identifier",
           parsed.requestIdentifier().orElse("-"),
@@ -278,7 +279,7 @@
     Channel upstream = connection.channel();
     if (!stream.started()) {
       listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
-      log("first_event");
+      log.event("first_event");
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
     stream.forward(complete, exchange, upstream, send.repeatable());
@@ -296,7 +297,7 @@
     if (!send.stream()) {
       exchange.respond(
           response.status(), dialect.callerHeaders(response), bufferedBody.toByteArray());
-      log("answered", "status", response.status().code());
+      log.event("answered", "status", response.status().code());
       end(result(AttemptOutcome.COMPLETED, "answered"));
       return;
     }
@@ -338,14 +339,7 @@
 
   private void breakOff(Optional<ResponseStage> lostAt, String reason) {
     reusable = false;
-    end(
-        new AttemptResult(
-            AttemptOutcome.BROKEN,
-            response == null ? 0 : response.status().code(),
-            stream.started() || exchange.responseStarted(),
-            false,
-            lostAt,
-            reason));
+    end(AttemptResults.broken(Optional.ofNullable(response), begun(), lostAt, reason));
     closeConnection();
   }
 
@@ -356,13 +350,12 @@
   }
 
   private AttemptResult result(AttemptOutcome outcome, String reason) {
-    return new AttemptResult(
-        outcome,
-        response.status().code(),
-        stream.started() || exchange.responseStarted(),
-        outcome != AttemptOutcome.COMPLETED,
-        Optional.empty(),
-        reason);
+    return AttemptResults.whole(outcome, response, begun(), reason);
+  }
+
+  /** Returns whether the caller has a part of the answer. */
+  private boolean begun() {
+    return stream.started() || exchange.responseStarted();
   }
 
   private void end(AttemptResult result) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -16,7 +16,6 @@
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
-import org.parsleyhead.core.dispatch.ResponseStage;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.callers.Exchange;
@@ -113,7 +112,7 @@
       return;
     }
     if (!attempt.silent(withdraw.answering())) {
-      attempt.log("send_kept", "reason", withdraw.reason());
+      attempt.log().event("send_kept", "reason", withdraw.reason());
       listener.accept(new DispatchEvent.AttemptKept(attempt.requestKey(), attempt.attemptNumber()));
       return;
     }
@@ -158,16 +157,7 @@
   private void attemptEnded(UpstreamAttempt attempt, AttemptResult result) {
     if (activeAttempts.remove(attempt.requestKey(), attempt)) {
       if (result.outcome() != AttemptOutcome.COMPLETED) {
-        attempt.log(
-            "send_ended",
-            "outcome",
-            result.outcome(),
-            "status",
-            result.status(),
-            "lost_at",
-            result.lostAt().map(ResponseStage::name).orElse("-"),
-            "reason",
-            result.reason());
+        attempt.log().ended(result);
       }
       listener.accept(
           new DispatchEvent.AttemptEnded(attempt.requestKey(), attempt.attemptNumber(), result));
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchEffectExecutorTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchEffectExecutorTests.java
@@ -40,6 +40,7 @@
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.gateway.callers.CallerServer;
 import org.parsleyhead.gateway.upstreams.FakeRawServer;
+import org.parsleyhead.gateway.upstreams.FullBacklog;
 import org.parsleyhead.gateway.upstreams.UpstreamClient;
 import org.parsleyhead.runtime.duty.Duty;
 import org.parsleyhead.runtime.duty.Ring;
@@ -118,9 +119,15 @@
   }
 
   private Socket request(String path) throws IOException {
+    return request(path, "r");
+  }
+
+  private Socket request(String path, String identifier) throws IOException {
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), port);
     caller.setSoTimeout(20_000);
-    write(caller.getOutputStream(), "GET " + path + " HTTP/1.1\r\nHost: host\r\nId: r\r\n\r\n");
+    write(
+        caller.getOutputStream(),
+        "GET " + path + " HTTP/1.1\r\nHost: host\r\nId: " + identifier + "\r\n\r\n");
     return caller;
   }
 
@@ -243,4 +250,22 @@
       assertBrokenOff(0);
     }
   }
+
+  @Test
+  @DisplayName("logs how long a server took no connection, which reaches no server's log")
+  void logsConnectTimeout() throws Exception {
+    try (FullBacklog server = new FullBacklog();
+        Socket caller = request("/stream", "unanswered")) {
+      send(server.port());
+      next(DispatchEvent.AttemptEnded.class);
+      assertTrue(caller.isConnected());
+      List<String> logged = lines.of("unanswered");
+      String line = logged.get(logged.size() - 1);
+      assertTrue(
+          line.matches(
+              ".*event=send_ended .*outcome=NOT_SENT .*reason=\"connect: .*\".*"
+                  + " elapsed_ms=[0-9]+.*"),
+          line);
+    }
+  }
 }
