An answer that has begun is not ended for memory

When the responses that a host buffers exceeded 24 MiB, the attempt that buffered the most was ended as broken, also one whose caller had received events; its stream broke off if no run was left. 48 streams of sound servers, each within an event of 900 kB, were enough.

Such a stream is now not read further until there is room: reading and the timer for its silence stop, and go on once memory is released. Streams that have begun have half of the memory; while they exceed it, a stream whose event is incomplete waits, and four of them, the one that has waited longest first, are read until their event is complete, so that none waits for ever. What they buffer together is bounded by that half, four events of 1 MiB, and one read for each stream. Responses of which the caller has nothing yet have what the streams leave, at least the other half; the largest of them is still ended, so that endless servers do not take the memory of small responses.

areNotEnded failed before: "expected: <COMPLETED> but was: <BROKEN>".

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/AttemptLog.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/AttemptLog.java
@@ -22,6 +22,7 @@
   private final DispatchEffect.Send send;
   private final long sentAt = System.nanoTime();
   private Optional<UpstreamConnection> connection = Optional.empty();
+  private boolean pausedForMemory;
 
   /** Creates the log of an attempt that starts now. */
   AttemptLog(DispatchEffect.Send send) {
@@ -49,6 +50,14 @@
     LOG.request(event, fields.toArray());
   }
 
+  /** Logs that the response waits for memory, once for an attempt. */
+  void pausedForMemory() {
+    if (!pausedForMemory) {
+      pausedForMemory = true;
+      event("paused_for_memory");
+    }
+  }
+
   /** Logs the end of the attempt with the time since its start. */
   void ended(AttemptResult result) {
     event(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/AttemptResults.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/AttemptResults.java
@@ -5,6 +5,7 @@
 import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.ResponseStage;
+import org.parsleyhead.gateway.api.ResponseHead;
 
 /** Creates the results of attempts. Stateless and thread-safe. */
 final class AttemptResults {
@@ -32,19 +33,29 @@
     return new AttemptResult(AttemptOutcome.BROKEN, status, begun, false, lostAt, reason);
   }
 
+  /** Returns the result of an attempt whose whole response went to the caller. */
+  static AttemptResult completed(HttpResponse response, boolean begun, String reason) {
+    return new AttemptResult(
+        AttemptOutcome.COMPLETED, response.status().code(), begun, false, Optional.empty(), reason);
+  }
+
   /**
-   * Returns the result of an attempt with a whole response, which is buffered unless it completed.
+   * Returns the result of an attempt with a whole error response, which is buffered.
    *
    * @param begun whether the caller has a part of the answer
    */
-  static AttemptResult whole(
-      AttemptOutcome outcome, HttpResponse response, boolean begun, String reason) {
+  static AttemptResult error(ResponseHead head, HttpResponse response, boolean begun) {
+    AttemptOutcome outcome =
+        head.misdirected()
+            ? AttemptOutcome.MISDIRECTED
+            : head.notRun() ? AttemptOutcome.NO_ROOM : AttemptOutcome.FAILED;
+    String reason =
+        switch (outcome) {
+          case MISDIRECTED -> "misdirected";
+          case NO_ROOM -> "not_run";
+          default -> "status";
+        };
     return new AttemptResult(
-        outcome,
-        response.status().code(),
-        begun,
-        outcome != AttemptOutcome.COMPLETED,
-        Optional.empty(),
-        reason);
+        outcome, response.status().code(), begun, true, Optional.empty(), reason);
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
@@ -8,7 +8,9 @@
  * The events of the streamed response of one attempt.
  *
  * <p>Confined to the event loop. Only complete events reach the caller. Once it has started, the
- * caller has received its first event, and its silence is reported.
+ * caller has received its first event, and its silence is reported. While its caller has no room,
+ * or there is no memory for its events, nothing is read from its server, and its silence does not
+ * count.
  */
 final class EventStream {
 
@@ -16,10 +18,30 @@
 
   private final ServerSentEventSplitter events = new ServerSentEventSplitter();
   private final StreamSilenceTimer silenceTimer;
+  private final Runnable onCallerReads;
+  private final AttemptLog log;
+  private Channel upstream;
   private boolean started;
+  private boolean stopped;
+  private boolean waitsForCaller;
+  private boolean waitsForMemory;
 
-  EventStream(Runnable onSilence) {
+  /**
+   * Creates a stream that has not started.
+   *
+   * @param onSilence runs while the stream is silent
+   * @param onCallerReads runs whenever the caller has room again
+   * @param log the log of the attempt
+   */
+  EventStream(Runnable onSilence, Runnable onCallerReads, AttemptLog log) {
     this.silenceTimer = new StreamSilenceTimer(onSilence);
+    this.onCallerReads = onCallerReads;
+    this.log = log;
+  }
+
+  /** Sets the connection of the attempt. */
+  void connected(Channel channel) {
+    upstream = channel;
   }
 
   /** Returns whether an event was forwarded. */
@@ -52,26 +74,58 @@
    *
    * @param reportsSilence whether silence after the first event is reported
    */
-  void forward(byte[] complete, Exchange exchange, Channel upstream, boolean reportsSilence) {
+  void forward(byte[] complete, Exchange exchange, boolean reportsSilence) {
     silenceTimer.eventReceived();
     if (!started && reportsSilence) {
       silenceTimer.start(upstream.eventLoop());
     }
     started = true;
     exchange.writeEvents(Unpooled.wrappedBuffer(complete), events.lastIdentifier());
-    if (!exchange.checkWritable(() -> readOn(upstream))) {
-      upstream.config().setAutoRead(false);
-      silenceTimer.pause();
-    }
+    waitsForCaller = !exchange.checkWritable(() -> callerReads());
+    readOrPause();
+  }
+
+  /** Returns whether nothing is read since the caller has no room. */
+  boolean waitsForCaller() {
+    return waitsForCaller;
   }
 
-  private void readOn(Channel upstream) {
-    silenceTimer.resume();
-    upstream.config().setAutoRead(true);
+  /** Reads no further until there is memory. */
+  void pauseForMemory() {
+    waitsForMemory = true;
+    readOrPause();
+    log.pausedForMemory();
+  }
+
+  /** Reads on, since there is memory, unless the caller has no room. */
+  void resumeForMemory() {
+    waitsForMemory = false;
+    readOrPause();
+  }
+
+  private void callerReads() {
+    waitsForCaller = false;
+    readOrPause();
+    onCallerReads.run();
+  }
+
+  /** Does nothing once the stream has stopped, since its connection may carry another request. */
+  private void readOrPause() {
+    if (stopped) {
+      return;
+    }
+    boolean reads = !waitsForCaller && !waitsForMemory;
+    if (reads) {
+      silenceTimer.resume();
+    } else {
+      silenceTimer.pause();
+    }
+    upstream.config().setAutoRead(reads);
   }
 
-  /** Stops reporting silence. */
+  /** Stops reporting silence, and leaves its connection alone. */
   void stop() {
+    stopped = true;
     silenceTimer.stop();
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -14,7 +14,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import org.parsleyhead.core.dispatch.AttemptOutcome;
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
@@ -45,7 +44,7 @@
   private final IdleConnectionPool idlePool;
   private final ResponseMemory responseMemory;
   private final BiConsumer<UpstreamAttempt, AttemptResult> onEnd;
-  private final EventStream stream = new EventStream(this::reportSilence);
+  private final EventStream stream;
   private final AttemptLog log;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private UpstreamConnection connection;
@@ -74,6 +73,7 @@
     this.responseMemory = responseMemory;
     this.onEnd = onEnd;
     this.log = new AttemptLog(send);
+    this.stream = new EventStream(this::reportSilence, responseMemory::callerReads, log);
   }
 
   long requestKey() {
@@ -94,6 +94,7 @@
     log.connected(connected);
     reusedConnection = connected.hasCarriedRequest();
     Channel channel = connected.channel();
+    stream.connected(channel);
     if (cancelled || exchange.ended()) {
       idlePool.release(send.instance(), connected, DEFAULT_KEEP_ALIVE_TIMEOUT);
       channel.pipeline().addLast(new IdleConnectionHandler(send.instance(), connected, idlePool));
@@ -256,14 +257,11 @@
       return;
     }
     bufferedBody.writeBytes(bytes);
-    reserveMemory(bufferedBody.size());
+    endLargest(responseMemory.update(this, bufferedBody.size()));
   }
 
-  /** Ends the attempt that buffers the most if the memory for responses is exhausted. */
-  private void reserveMemory(int bytes) {
-    responseMemory
-        .update(this, bytes)
-        .ifPresent(largest -> largest.endBroken("response_memory_full"));
+  private static void endLargest(Optional<UpstreamAttempt> largest) {
+    largest.ifPresent(attempt -> attempt.endBroken("response_memory_full"));
   }
 
   private void forwardEvents(byte[] bytes) {
@@ -272,17 +270,24 @@
       endBroken("event_too_large");
       return;
     }
-    reserveMemory(stream.pendingBytes());
-    if (ended || complete.length == 0) {
+    if (complete.length == 0) {
+      recordPendingBytes(false);
       return;
     }
-    Channel upstream = connection.channel();
     if (!stream.started()) {
       listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
       log.event("first_event");
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
-    stream.forward(complete, exchange, upstream, send.repeatable());
+    stream.forward(complete, exchange, send.repeatable());
+    recordPendingBytes(true);
+  }
+
+  private void recordPendingBytes(boolean eventEnded) {
+    endLargest(
+        exchange.responseStarted()
+            ? responseMemory.updateStream(this, stream, eventEnded)
+            : responseMemory.update(this, stream.pendingBytes()));
   }
 
   private void responseComplete() {
@@ -298,7 +303,7 @@
       exchange.respond(
           response.status(), dialect.callerHeaders(response), bufferedBody.toByteArray());
       log.event("answered", "status", response.status().code());
-      end(result(AttemptOutcome.COMPLETED, "answered"));
+      end(AttemptResults.completed(response, begun(), "answered"));
       return;
     }
     if (stream.pendingBytes() > 0) {
@@ -311,19 +316,13 @@
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
     exchange.endStream();
-    end(result(AttemptOutcome.COMPLETED, "streamed"));
+    end(AttemptResults.completed(response, begun(), "streamed"));
   }
 
   private void endWithErrorResponse() {
     exchange.bufferResponse(
         response.status(), dialect.callerHeaders(response), bufferedBody.toByteArray());
-    if (responseHead.misdirected()) {
-      end(result(AttemptOutcome.MISDIRECTED, "misdirected"));
-    } else if (responseHead.notRun()) {
-      end(result(AttemptOutcome.NO_ROOM, "not_run"));
-    } else {
-      end(result(AttemptOutcome.FAILED, "status"));
-    }
+    end(AttemptResults.error(responseHead, response, begun()));
   }
 
   private void endBroken(String reason) {
@@ -349,10 +348,6 @@
     }
   }
 
-  private AttemptResult result(AttemptOutcome outcome, String reason) {
-    return AttemptResults.whole(outcome, response, begun(), reason);
-  }
-
   /** Returns whether the caller has a part of the answer. */
   private boolean begun() {
     return stream.started() || exchange.responseStarted();
@@ -372,7 +367,7 @@
   }
 
   private void releaseResources() {
-    responseMemory.update(this, 0);
     stream.stop();
+    responseMemory.release(this, stream);
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -43,7 +43,8 @@
   private final AttemptListener listener;
   private final EventLoopGroup eventLoops;
   private final IdleConnectionPool idlePool = new IdleConnectionPool();
-  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_BUFFERED_BYTES);
+  private final ResponseMemory responseMemory =
+      new ResponseMemory(MAXIMUM_BUFFERED_BYTES, MAXIMUM_BUFFERED_BYTES / 2);
   private final Map<Long, UpstreamAttempt> activeAttempts = new HashMap<>();
   private final AtomicLong openedConnections = new AtomicLong();
 
