A stopping host takes no request that may not end in its time

Callers of a host that was stopped got no answer to plain requests that it had taken 6.7 s and 6.8 s after SIGTERM, and to streams taken up to 2.7 s after it: the process ended at 7.4 s and 7.5 s. Admission asked only for the stage of the stop, so a request was taken as long as anything was active, whatever time it might need.

From the signal on the core now admits a request, plain or stream, only if its deadline (receipt plus the smaller of the caller's deadline and the timeout of the route) lies before the instant by which all answers must have ended, and refuses all others at once as not run. The instant leaves 300 ms, or a tenth of a short stop, for the delivery of the last answers. The plan is a value that the event carries; it is sent until the ring takes it, and a plan that was overtaken by a later one is ignored. A stopping host no longer makes requests wait for its catalogue. A refusal for a stop closes the connection, so that the caller reaches another host.

PlannedStopTests checks the plans instead of the two stages, and in addition when they are sent and that they come before the end of a short stop.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -52,6 +52,9 @@
     if (state.catalogue().known() && !state.instances().all().isEmpty()) {
       return admit(state, new ReceivedRequest(request, time), time);
     }
+    if (state.stop().stopping()) {
+      return refuseStopping(state, request);
+    }
     Optional<Duration> limit =
         state.startup().waitLimit(request.callerTimeout().orElse(DEFAULT_CALLER_TIMEOUT), time);
     if (limit.isEmpty()) {
@@ -74,6 +77,17 @@
     return step;
   }
 
+  /** Applies a plan to stop; a host that stops waits no longer for its catalogue. */
+  Step<DispatchState, DispatchEffect> stop(DispatchState state, StopPlan plan) {
+    StopPlan next = state.stop().followedBy(plan);
+    Step<DispatchState, DispatchEffect> step =
+        Step.of(state.withStop(next).withStartup(state.startup().emptied()));
+    for (ReceivedRequest received : state.startup().requests()) {
+      step = step.andThen(stopped -> refuseStopping(stopped, received.request()));
+    }
+    return step;
+  }
+
   /** Ends the wait of a request for the catalogue. */
   Step<DispatchState, DispatchEffect> endWait(
       DispatchState state, ReceivedRequest received, MonotonicTime time) {
@@ -94,6 +108,15 @@
         "catalogue=unknown");
   }
 
+  private static Step<DispatchState, DispatchEffect> refuseStopping(
+      DispatchState state, ServingRequest request) {
+    return refuse(
+        state,
+        request,
+        DispatchRefusal.withRetryAfter(DispatchRefusal.Code.STOPPING, STOPPING_DELAY),
+        "catalogue=" + state.catalogue().version() + " stage=" + state.stop().stage());
+  }
+
   private Step<DispatchState, DispatchEffect> admit(
       DispatchState state, ReceivedRequest received, MonotonicTime time) {
     ServingRequest request = received.request();
@@ -102,15 +125,8 @@
     if (route.isEmpty()) {
       return refuse(state, request, DispatchRefusal.of(DispatchRefusal.Code.NO_ROUTE), version);
     }
-    boolean rejected =
-        state.stopStage() == StopStage.REJECT_ALL
-            || state.stopStage() == StopStage.REJECT_STREAMS && route.get().kind().stream();
-    if (rejected) {
-      return refuse(
-          state,
-          request,
-          DispatchRefusal.withRetryAfter(DispatchRefusal.Code.STOPPING, STOPPING_DELAY),
-          version);
+    if (!state.stop().admits(deadline(received, route.get()))) {
+      return refuseStopping(state, request);
     }
     Optional<AccountLimits> account = request.credential().flatMap(state.catalogue()::account);
     if (account.isEmpty() && !route.get().open() && !state.catalogue().accounts().isEmpty()) {
@@ -162,8 +178,6 @@
       Optional<AccountLimits> account,
       double units) {
     ServingRequest request = received.request();
-    Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
-    Duration limit = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
     int priority =
         account.map(limits -> limits.priority().orElse(route.priority())).orElse(route.priority());
     return new ActiveRequest(
@@ -175,11 +189,18 @@
         units,
         Math.min(LOWEST_URGENCY, URGENCY_OFFSET + Math.max(0, priority)),
         received.receivedAt(),
-        received.receivedAt().plus(limit),
+        deadline(received, route),
         request.work().map(PrefixCacheEstimate::prefixHashes).orElse(List.of()),
         Progress.INITIAL);
   }
 
+  /** Returns the instant by which the response must be complete. */
+  private static MonotonicTime deadline(ReceivedRequest received, ServiceRoute route) {
+    Duration callerTimeout = received.request().callerTimeout().orElse(route.timeout());
+    Duration limit = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
+    return received.receivedAt().plus(limit);
+  }
+
   private static double units(AccountLimits limits, ServingRequest request) {
     if (!limits.countsTokens()) {
       return ONE_REQUEST;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -113,7 +113,7 @@
   record RestrictionLifted(Trait trait) implements DispatchEvent {}
 
   /** The shutdown of this process reached a stage that refuses some or all new requests. */
-  record Stopping(StopStage stage) implements DispatchEvent {}
+  record Stopping(StopPlan plan) implements DispatchEvent {}
 
   /** Periodic event of the duty. */
   record Tick() implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchRefusal.java
@@ -21,6 +21,11 @@
     Preconditions.requireNonNull(retryAfter, "retryAfter");
   }
 
+  /** Returns whether the caller should use another connection, and so reach another host. */
+  public boolean closesConnection() {
+    return code == Code.STOPPING;
+  }
+
   /** Returns a refusal without a Retry-After. */
   static DispatchRefusal of(Code code) {
     return new DispatchRefusal(code, Optional.empty());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -23,7 +23,7 @@
  * @param buckets the token buckets of the rate-limited client accounts, by name
  * @param budgets the retry budgets, by service
  * @param peers the load that the other hosts reported
- * @param stopStage the stage of the shutdown of this process
+ * @param stop what this process admits while it stops
  * @param versions the newest declared versions of the adapters
  * @param earliestTakeover the earliest instant at which instances without an owner can get one
  * @param startup the requests that wait until this host knows its catalogue and instances
@@ -36,7 +36,7 @@
     PMap<String, AccountBucket> buckets,
     PMap<String, RetryBudget> budgets,
     PeerTable peers,
-    StopStage stopStage,
+    StopPlan stop,
     AdapterVersions versions,
     MonotonicTime earliestTakeover,
     StartupQueue<ReceivedRequest> startup,
@@ -51,7 +51,7 @@
         HashTreePMap.empty(),
         HashTreePMap.empty(),
         PeerTable.EMPTY,
-        StopStage.RUNNING,
+        StopPlan.RUNNING,
         AdapterVersions.NONE,
         MonotonicTime.ORIGIN,
         StartupQueue.startedAt(time),
@@ -107,7 +107,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
@@ -122,7 +122,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
@@ -149,7 +149,7 @@
         next,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
@@ -168,7 +168,7 @@
         buckets,
         next,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
@@ -183,7 +183,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         next,
         earliestTakeover,
         startup,
@@ -198,7 +198,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         time,
         startup,
@@ -213,14 +213,14 @@
         buckets,
         budgets,
         next,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
         quarantine);
   }
 
-  DispatchState withStopStage(StopStage stage) {
+  DispatchState withStop(StopPlan next) {
     return new DispatchState(
         catalogue,
         instances,
@@ -228,7 +228,7 @@
         buckets,
         budgets,
         peers,
-        stage,
+        next,
         versions,
         earliestTakeover,
         startup,
@@ -250,7 +250,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         next,
@@ -265,7 +265,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
@@ -280,7 +280,7 @@
         buckets,
         budgets,
         peers,
-        stopStage,
+        stop,
         versions,
         earliestTakeover,
         startup,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -101,6 +101,9 @@
     if (event instanceof DispatchEvent.RestrictionLifted lifted) {
       return quarantine.lifted(state, lifted.trait(), time);
     }
+    if (event instanceof DispatchEvent.Stopping stopping) {
+      return admission.stop(state, stopping.plan());
+    }
     if (event instanceof DispatchEvent.Tick) {
       return quarantine.onTick(removeExpired(state, time), time);
     }
@@ -130,11 +133,8 @@
     if (event instanceof DispatchEvent.PeerReported reported) {
       return peerReported(state, reported, time);
     }
-    if (event instanceof DispatchEvent.VersionDeclared declared) {
-      return versionDeclared(state, declared);
-    }
-    return event instanceof DispatchEvent.Stopping stopping
-        ? state.withStopStage(stopping.stage())
+    return event instanceof DispatchEvent.VersionDeclared declared
+        ? versionDeclared(state, declared)
         : state;
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StopStage.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StopStage.java
@@ -1,11 +1,11 @@
 package org.parsleyhead.core.dispatch;
 
-/** The stage of the shutdown of a process. Immutable and thread-safe. */
+/** The stages of the shutdown of a process, in their order. Immutable and thread-safe. */
 public enum StopStage {
   /** No shutdown is in progress. */
   RUNNING,
-  /** Streams are refused, since they would not complete in time; other requests are admitted. */
-  REJECT_STREAMS,
+  /** Requests that may not end in time are refused; others are admitted. */
+  REJECT_LATE,
   /** All new requests are refused. */
   REJECT_ALL
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchTransitionTests.java
@@ -146,12 +146,16 @@
     }
 
     @Test
-    @DisplayName("refuses streams before it refuses other requests during a shutdown")
+    @DisplayName("refuses streams that may not end in time, and everything at last, when stopping")
     void refusesStreamsWhenStopping() {
-      host.apply(new DispatchEvent.Stopping(StopStage.REJECT_STREAMS));
+      host.apply(
+          new DispatchEvent.Stopping(
+              StopPlan.rejectEndingAfter(host.now().plus(Duration.ofSeconds(4)))));
       assertEquals(DispatchRefusal.Code.STOPPING, refusal(host.receive("/chat/x", work(ADAPTER))));
-      host.send("/read/x", Optional.empty());
-      host.apply(new DispatchEvent.Stopping(StopStage.REJECT_ALL));
+      only(
+          host.receive("/read/x", Optional.empty(), Duration.ofSeconds(3), key -> {}),
+          DispatchEffect.Send.class);
+      host.apply(new DispatchEvent.Stopping(StopPlan.REJECT_ALL));
       assertEquals(
           DispatchRefusal.Code.STOPPING, refusal(host.receive("/read/x", Optional.empty())));
     }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -216,6 +216,9 @@
         "inputs",
         refuse.inputs());
     metrics.requestRefused(refusal.code());
+    if (known != null && refusal.closesConnection()) {
+      known.closeAfterResponse();
+    }
     removeExchange(refuse.request().key())
         .ifPresent(
             exchange ->
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -100,6 +100,8 @@
   private final Duty<DispatchState, DispatchEvent, DispatchEffect> dispatch;
   private final Duty<FleetState, FleetEvent, FleetEffect> fleet;
   private final Duty<PublicationState, PublicationEvent, PublicationEffect> publication;
+  private final EventSender<DispatchEvent> dispatchEvents;
+  private final EventSender<FleetEvent> fleetEvents;
   private final CallerServer callers;
   private final PeerSockets peers;
 
@@ -108,12 +110,12 @@
     this.eventLoops =
         new MultiThreadIoEventLoopGroup(
             1, new DefaultThreadFactory("sockets", true), NioIoHandler.newFactory());
-    PlatformAdapter platform = platforms.create(settings);
+    final PlatformAdapter platform = platforms.create(settings);
     final Ring<DispatchEvent> dispatchRing = new Ring<>("dispatch", DISPATCH_RING_CAPACITY);
     final Ring<FleetEvent> fleetRing = new Ring<>("fleet", FLEET_RING_CAPACITY);
     final Ring<PublicationEvent> publicationRing =
         new Ring<>("publication", PUBLICATION_RING_CAPACITY);
-    MonotonicTime now = clock.now();
+    final MonotonicTime now = clock.now();
     String self = settings.peersEndpoint().toString();
     final long incarnation = ThreadLocalRandom.current().nextLong() & Long.MAX_VALUE;
     this.peers =
@@ -123,7 +125,8 @@
             eventLoops,
             new PeerReceiver(fleetRing, publicationRing, dispatchRing));
     EventLoop eventLoop = eventLoops.next();
-    EventSender<DispatchEvent> dispatchEvents = new EventSender<>(dispatchRing, eventLoop);
+    this.dispatchEvents = new EventSender<>(dispatchRing, eventLoop);
+    this.fleetEvents = new EventSender<>(fleetRing, eventLoop);
     UpstreamClient upstreams =
         new UpstreamClient(platform.dialect(), dispatchEvents::send, eventLoops);
     DispatchEffectExecutor dispatchExecutor =
@@ -152,7 +155,7 @@
                 peers,
                 publicationRing,
                 dispatchEvents,
-                new EventSender<>(fleetRing, eventLoop),
+                fleetEvents,
                 metrics),
             PublicationEvent.Tick::new,
             PUBLICATION_TICK_INTERVAL,
@@ -205,12 +208,12 @@
   public ExitStatus stop() {
     LOG.info("stopping", "active_requests", dispatch.state().activeRequests());
     stopping.set(true);
-    fleet.ring().offer(new FleetEvent.Leaving());
+    fleetEvents.send(new FleetEvent.Leaving());
     final int unanswered =
         new PlannedStop(
                 clock,
                 this::parkUntil,
-                stage -> dispatch.ring().offer(new DispatchEvent.Stopping(stage)),
+                plan -> dispatchEvents.send(new DispatchEvent.Stopping(plan)),
                 callers::closeIdle,
                 () -> dispatch.state().activeRequests())
             .run(settings.stopTimeout());
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PlannedStop.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PlannedStop.java
@@ -4,14 +4,15 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.parsleyhead.core.api.MonotonicTime;
-import org.parsleyhead.core.dispatch.StopStage;
+import org.parsleyhead.core.dispatch.StopPlan;
 import org.parsleyhead.runtime.duty.MonotonicClock;
 
 /**
  * The order of events in which a host stops taking requests and answers those that it has taken.
  *
- * <p>Confined to one thread. While time is left, no request that was taken is given up: new ones
- * are refused before the last look at those that are active.
+ * <p>Confined to one thread. From its beginning on, a request is admitted only if its response ends
+ * while time is left. While time is left, no request that was taken is given up: new ones are
+ * refused before the last look at those that are active.
  */
 final class PlannedStop {
 
@@ -21,11 +22,14 @@
   /** Time for complete responses in transit to arrive once all new requests are rejected. */
   private static final Duration LAST_RESPONSES_DELAY = Duration.ofMillis(300);
 
+  /** The part of a short stop that is left for the delivery of the last responses. */
+  private static final int LAST_RESPONSES_DIVISOR = 10;
+
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
   private final MonotonicClock clock;
   private final Consumer<MonotonicTime> sleepUntil;
-  private final Consumer<StopStage> stages;
+  private final Consumer<StopPlan> plans;
   private final Runnable closeIdleConnections;
   private final IntSupplier activeRequests;
 
@@ -33,19 +37,19 @@
    * Creates a stop that has not begun.
    *
    * @param sleepUntil returns at a time of the clock
-   * @param stages receives the stages of the stop in their order
+   * @param plans receives what may be admitted from now on
    * @param closeIdleConnections closes the connections of callers without an active request
    * @param activeRequests returns the number of requests that were taken and have not ended
    */
   PlannedStop(
       MonotonicClock clock,
       Consumer<MonotonicTime> sleepUntil,
-      Consumer<StopStage> stages,
+      Consumer<StopPlan> plans,
       Runnable closeIdleConnections,
       IntSupplier activeRequests) {
     this.clock = clock;
     this.sleepUntil = sleepUntil;
-    this.stages = stages;
+    this.plans = plans;
     this.closeIdleConnections = closeIdleConnections;
     this.activeRequests = activeRequests;
   }
@@ -59,10 +63,12 @@
   int run(Duration timeout) {
     MonotonicTime started = clock.now();
     MonotonicTime deadline = started.plus(timeout);
-    sleepUntil.accept(started.plus(BALANCER_DETECTION_TIME));
-    stages.accept(StopStage.REJECT_STREAMS);
-    awaitActiveRequests(deadline);
-    stages.accept(StopStage.REJECT_ALL);
+    MonotonicTime answersEndBy =
+        deadline.minus(shorter(LAST_RESPONSES_DELAY, timeout.dividedBy(LAST_RESPONSES_DIVISOR)));
+    plans.accept(StopPlan.rejectEndingAfter(answersEndBy));
+    sleepUntil.accept(started.plus(shorter(BALANCER_DETECTION_TIME, answersEndBy.since(started))));
+    awaitActiveRequests(answersEndBy);
+    plans.accept(StopPlan.REJECT_ALL);
     awaitActiveRequests(deadline);
     sleep(LAST_RESPONSES_DELAY);
     closeIdleConnections.run();
@@ -80,4 +86,8 @@
   private void sleep(Duration duration) {
     sleepUntil.accept(clock.now().plus(duration));
   }
+
+  private static Duration shorter(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
+  }
 }
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/PlannedStopTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/PlannedStopTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.dispatch.StopPlan;
 import org.parsleyhead.core.dispatch.StopStage;
 
 @DisplayName("A planned stop")
@@ -17,18 +18,28 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(7);
   private static final MonotonicTime START = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
 
-  private final List<StopStage> stages = new ArrayList<>();
+  private final List<StopPlan> plans = new ArrayList<>();
+  private final List<MonotonicTime> plannedAt = new ArrayList<>();
   private MonotonicTime now = START;
   private MonotonicTime takenAt = START;
   private MonotonicTime endsAt = START;
 
   /** Runs a stop while one request is active from one time to another. */
   private int stopWithRequest(Duration taken, Duration ended) {
+    return stopWithRequest(taken, ended, TIMEOUT);
+  }
+
+  private int stopWithRequest(Duration taken, Duration ended, Duration timeout) {
     takenAt = START.plus(taken);
     endsAt = START.plus(ended);
     return new PlannedStop(
-            () -> now, time -> now = time, stages::add, () -> {}, this::activeRequests)
-        .run(TIMEOUT);
+            () -> now, time -> now = time, this::planned, () -> {}, this::activeRequests)
+        .run(timeout);
+  }
+
+  private void planned(StopPlan plan) {
+    plans.add(plan);
+    plannedAt.add(now);
   }
 
   private int activeRequests() {
@@ -55,9 +66,30 @@
   }
 
   @Test
-  @DisplayName("refuses streams first and everything afterwards")
+  @DisplayName("refuses what may not end in time from its first moment, and everything afterwards")
   void refusesInOrder() {
     stopWithRequest(Duration.ZERO, Duration.ofSeconds(3));
-    assertEquals(List.of(StopStage.REJECT_STREAMS, StopStage.REJECT_ALL), stages);
+    assertEquals(
+        List.of(StopStage.REJECT_LATE, StopStage.REJECT_ALL),
+        plans.stream().map(StopPlan::stage).toList());
+    assertEquals(START, plannedAt.get(0));
+    assertTrue(plans.get(0).answersEndBy().isBefore(START.plus(TIMEOUT)), plans::toString);
+  }
+
+  @Test
+  @DisplayName("admits until the load balancer has noticed it, if there is time for that")
+  void admitsUntilDetected() {
+    stopWithRequest(Duration.ZERO, Duration.ZERO);
+    Duration admitted = plannedAt.get(1).since(START);
+    assertTrue(admitted.compareTo(Duration.ofMillis(2_700)) >= 0, () -> "until " + admitted);
+  }
+
+  @Test
+  @DisplayName("refuses everything before a short time is over")
+  void refusesBeforeShortTimeIsOver() {
+    stopWithRequest(Duration.ZERO, Duration.ofSeconds(60), Duration.ofSeconds(2));
+    assertTrue(plannedAt.get(1).isBefore(START.plus(Duration.ofSeconds(2))), plannedAt::toString);
+    assertTrue(
+        plans.get(0).answersEndBy().isBefore(START.plus(Duration.ofSeconds(2))), plans::toString);
   }
 }
