A connection is closed after the last byte of the answers that it owes

Callers that read slowly got a part of an answer: a connection whose last exchange had ended was closed as idle, by a stop or by the idle timeout, while bytes of the answer were still in its outbound buffer, and an answer that was broken off took the one before it along. Pipelined requests that had been taken were dropped when a stop or a malformed request closed the connection after the answer before them.

The connection now tracks the answers that it owes until their last byte was written, and closes after that; a caller that reads nothing within the idle timeout loses its connection as before. A close that was asked for follows the last request that was taken, whose answer announces it; what arrives after the announcement is read and dropped, never passed on. After such an answer only the output is shut down for up to a second, since a close with unread input resets the connection and may destroy the answer on its way.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/CallerConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -21,6 +22,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.parsleyhead.core.serving.RequestLimits;
@@ -31,55 +33,75 @@
  * One connection of a caller: assembles requests and passes them on one after the other.
  *
  * <p>Confined to the event loop. Pipelined requests are queued until the preceding response is
- * complete; while too many are queued, the connection is not read.
+ * complete; while too many are queued, the connection is not read. A connection that this host
+ * closes has written all bytes of the responses to the requests that it has taken, and takes no
+ * further ones.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements ExchangeConnection {
 
   /** The maximum number of requests that wait behind the current one. */
   private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
-  /** How long data is read after a rejection; the rest of a rejected body arrives sooner. */
+  /** How long data is read and dropped before the close; the rest of a body arrives sooner. */
   private static final long LINGER_TIMEOUT_MILLISECONDS = 1_000;
 
   private final HttpDialect dialect;
   private final CallerListener listener;
   private final Supplier<RequestLimits> limits;
   private final LongSupplier requestKeys;
+  private final AtomicInteger unanswered;
   private final Deque<PipelinedRequest> pipelined = new ArrayDeque<>();
   private HttpRequest head;
   private CompositeByteBuf body;
+  private ChannelHandlerContext context;
   private Exchange current;
+  private boolean currentKeepAlive;
+  private OwedResponses owed;
   private Future<?> timeout;
+  private boolean closeRequested;
   private boolean closing;
 
+  /**
+   * Creates the handler of one connection.
+   *
+   * @param unanswered counts the requests of all connections whose responses are not yet written
+   */
   CallerConnection(
       HttpDialect dialect,
       CallerListener listener,
       Supplier<RequestLimits> limits,
-      LongSupplier requestKeys) {
+      LongSupplier requestKeys,
+      AtomicInteger unanswered) {
     this.dialect = dialect;
     this.listener = listener;
     this.limits = limits;
     this.requestKeys = requestKeys;
+    this.unanswered = unanswered;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+    owed = new OwedResponses(added.channel(), unanswered);
   }
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    scheduleTimeout(context, limits.get().idleTimeout().toMillis());
+    scheduleTimeout(limits.get().idleTimeout().toMillis());
     context.fireChannelActive();
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      if (closing) {
+      if (closing || busy() && current.closeAnnounced()) {
         return;
       }
       if (message instanceof HttpRequest request) {
-        beginRequest(context, request);
+        beginRequest(request);
       }
       if (message instanceof HttpContent content && head != null) {
-        appendContent(context, content);
+        appendContent(content);
       }
     } finally {
       ReferenceCountUtil.release(message);
@@ -98,12 +120,11 @@
   public void channelInactive(ChannelHandlerContext context) {
     cancelTimeout();
     discardPartialRequest();
-    pipelined.forEach(PipelinedRequest::release);
-    pipelined.clear();
-    if (current != null && !current.ended()) {
-      Exchange unanswered = current;
-      unanswered.endAfterDisconnect();
-      listener.callerDisconnected(unanswered);
+    discardPipelined();
+    owed.removeAll();
+    if (busy()) {
+      current.endAfterDisconnect();
+      listener.callerDisconnected(current);
     }
     context.fireChannelInactive();
   }
@@ -114,23 +135,67 @@
   }
 
   /** Closes the connection once all of its requests are answered. */
-  void closeWhenIdle(ChannelHandlerContext context) {
-    if (current != null && !current.ended()) {
-      current.closeAfterResponse();
-    } else if (head == null && pipelined.isEmpty()) {
+  void closeWhenIdle() {
+    closeRequested = true;
+    if (closing || busy() || head != null || !pipelined.isEmpty()) {
+      return;
+    }
+    if (owed.written()) {
       closing = true;
       context.close();
+    } else {
+      closeAfterResponses();
+    }
+  }
+
+  @Override
+  public boolean closesAfterResponse() {
+    return !currentKeepAlive || closeRequested && head == null && pipelined.isEmpty();
+  }
+
+  @Override
+  public void closeWhenAnswered() {
+    closeRequested = true;
+  }
+
+  @Override
+  public void responseEnded(ChannelFuture written) {
+    owed.ended(written);
+    if (current.closeAnnounced() || closesAfterResponse()) {
+      closeAfterResponses();
+    } else {
+      startNext();
     }
   }
 
-  private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
+  @Override
+  public void responseAborted() {
+    closing = true;
+    scheduleTimeout(limits.get().idleTimeout().toMillis());
+    owed.whenWritten(() -> context.close());
+  }
+
+  private boolean busy() {
+    return current != null && !current.ended();
+  }
+
+  /** Closes the connection after the last byte of the responses, which may not be written yet. */
+  private void closeAfterResponses() {
+    closing = true;
+    discardPartialRequest();
+    discardPipelined();
+    scheduleTimeout(limits.get().idleTimeout().toMillis());
+    owed.whenWritten(this::linger);
+  }
+
+  private void beginRequest(HttpRequest request) {
     cancelTimeout();
     if (request.decoderResult().isFailure()) {
-      rejectMalformed(context, request);
+      rejectMalformed(request);
       return;
     }
     if (HttpUtil.getContentLength(request, 0L) > limits.get().maximumBodyBytes()) {
-      reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
     }
     if (HttpUtil.is100ContinueExpected(request)) {
@@ -139,17 +204,17 @@
     }
     head = request;
     body = context.alloc().compositeBuffer();
-    scheduleTimeout(context, limits.get().headerTimeout().toMillis());
+    scheduleTimeout(limits.get().headerTimeout().toMillis());
   }
 
-  private void appendContent(ChannelHandlerContext context, HttpContent content) {
+  private void appendContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
-      reject(context, HttpResponseStatus.BAD_REQUEST, "malformed_body");
+      reject(HttpResponseStatus.BAD_REQUEST, "malformed_body");
       return;
     }
     if (body.readableBytes() + content.content().readableBytes()
         > limits.get().maximumBodyBytes()) {
-      reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
     }
     body.addComponent(true, content.content().retain());
@@ -159,22 +224,23 @@
       head = null;
       body = null;
       pipelined.add(completeRequest);
-      startNext(context);
+      owed.add();
+      startNext();
     }
   }
 
-  private void startNext(ChannelHandlerContext context) {
-    boolean busy = current != null && !current.ended();
+  private void startNext() {
+    boolean busy = busy();
     context.channel().config().setAutoRead(!busy || pipelined.size() < MAXIMUM_PIPELINED_REQUESTS);
     if (busy || pipelined.isEmpty()) {
       if (!busy && head == null) {
-        scheduleTimeout(context, limits.get().idleTimeout().toMillis());
+        scheduleTimeout(limits.get().idleTimeout().toMillis());
       }
       return;
     }
     cancelTimeout();
     PipelinedRequest completeRequest = pipelined.poll();
-    boolean keepAlive = HttpUtil.isKeepAlive(completeRequest.head());
+    currentKeepAlive = HttpUtil.isKeepAlive(completeRequest.head());
     try {
       current =
           new Exchange(
@@ -182,11 +248,11 @@
               completeRequest.head(),
               completeRequest.body(),
               dialect.readRequest(requestKeys.getAsLong(), completeRequest.head()),
-              keepAlive,
-              () -> startNext(context));
+              this);
     } catch (InvalidRequestException exception) {
       completeRequest.release();
-      reject(context, HttpResponseStatus.BAD_REQUEST, exception.getMessage());
+      owed.remove();
+      reject(HttpResponseStatus.BAD_REQUEST, exception.getMessage());
       return;
     }
     if (!listener.requestReceived(current)) {
@@ -196,56 +262,60 @@
     }
   }
 
-  private void rejectMalformed(ChannelHandlerContext context, HttpRequest request) {
+  private void rejectMalformed(HttpRequest request) {
     Throwable cause = request.decoderResult().cause();
     boolean tooLong = cause instanceof TooLongFrameException;
     reject(
-        context,
         tooLong
             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             : HttpResponseStatus.BAD_REQUEST,
         tooLong ? "head_too_large" : "malformed_head");
   }
 
-  private void reject(ChannelHandlerContext context, HttpResponseStatus status, String reason) {
+  private void reject(HttpResponseStatus status, String reason) {
     closing = true;
     cancelTimeout();
     discardPartialRequest();
     listener.requestRejected(status.code(), reason);
+    if (busy()) {
+      closeRequested = true;
+      return;
+    }
+    discardPipelined();
     DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    boolean busy = current != null && !current.ended();
-    if (busy) {
-      response.release();
-      current.closeAfterResponse();
-      return;
-    }
-    context.writeAndFlush(response).addListener(written -> linger(context));
+    owed.add();
+    owed.ended(context.writeAndFlush(response));
+    owed.whenWritten(this::linger);
   }
 
   /**
-   * Closes the connection after a delay during which incoming data is still read, so that the
-   * caller can read the response.
+   * Closes the connection after a delay during which incoming data is still read, since the caller
+   * could not read the response otherwise.
    */
-  private static void linger(ChannelHandlerContext context) {
+  private void linger() {
+    context.channel().config().setAutoRead(true);
     if (context.channel() instanceof SocketChannel channel) {
       channel.shutdownOutput();
     }
-    context
-        .executor()
-        .schedule(() -> context.close(), LINGER_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+    cancelTimeout();
+    timeout =
+        context
+            .executor()
+            .schedule(() -> context.close(), LINGER_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
   }
 
-  private void scheduleTimeout(ChannelHandlerContext context, long milliseconds) {
+  private void scheduleTimeout(long milliseconds) {
     cancelTimeout();
-    timeout =
-        context.executor().schedule(() -> timedOut(context), milliseconds, TimeUnit.MILLISECONDS);
+    timeout = context.executor().schedule(this::timedOut, milliseconds, TimeUnit.MILLISECONDS);
   }
 
-  private void timedOut(ChannelHandlerContext context) {
+  private void timedOut() {
     if (head != null) {
-      reject(context, HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout");
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout");
+    } else if (owed.progressing()) {
+      scheduleTimeout(limits.get().idleTimeout().toMillis());
     } else {
       context.close();
     }
@@ -266,6 +336,14 @@
     }
   }
 
+  private void discardPipelined() {
+    for (PipelinedRequest request : pipelined) {
+      request.release();
+      owed.remove();
+    }
+    pipelined.clear();
+  }
+
   /** A complete request that is queued until the preceding response is complete. */
   private record PipelinedRequest(HttpRequest head, ByteBuf body) {
 
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/Exchange.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/callers/Exchange.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -36,9 +35,9 @@
   private final HttpRequest head;
   private final ByteBuf body;
   private final ServingRequest request;
-  private final Runnable onEnd;
-  private boolean keepAlive;
+  private final ExchangeConnection connection;
   private boolean headSent;
+  private boolean closeAnnounced;
   private boolean ended;
   private Optional<String> lastEvent = Optional.empty();
   private Optional<BufferedResponse> bufferedResponse = Optional.empty();
@@ -49,14 +48,12 @@
       HttpRequest head,
       ByteBuf body,
       ServingRequest request,
-      boolean keepAlive,
-      Runnable onEnd) {
+      ExchangeConnection connection) {
     this.channel = channel;
     this.head = head;
     this.body = body;
     this.request = request;
-    this.keepAlive = keepAlive;
-    this.onEnd = onEnd;
+    this.connection = connection;
   }
 
   /** Returns the decoded request. */
@@ -89,9 +86,17 @@
     return ended;
   }
 
-  /** Closes the connection after the response of this exchange. */
+  /**
+   * Closes the connection after the response of this exchange, and of those whose requests were
+   * already taken from the connection.
+   */
   public void closeAfterResponse() {
-    keepAlive = false;
+    connection.closeWhenAnswered();
+  }
+
+  /** Returns whether the caller was told that the connection ends with this response. */
+  boolean closeAnnounced() {
+    return closeAnnounced;
   }
 
   /**
@@ -176,7 +181,7 @@
   public void abort() {
     if (!ended) {
       end();
-      channel.close();
+      connection.responseAborted();
     }
   }
 
@@ -199,12 +204,7 @@
 
   private void finish(Object last) {
     end();
-    if (keepAlive) {
-      channel.writeAndFlush(last, channel.voidPromise());
-      onEnd.run();
-    } else {
-      channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
-    }
+    connection.responseEnded(channel.writeAndFlush(last));
   }
 
   private void end() {
@@ -213,10 +213,11 @@
   }
 
   private void setConnectionHeader(HttpHeaders headers) {
-    if (keepAlive) {
-      headers.remove(HttpHeaderNames.CONNECTION);
-    } else {
+    closeAnnounced = connection.closesAfterResponse();
+    if (closeAnnounced) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else {
+      headers.remove(HttpHeaderNames.CONNECTION);
     }
   }
 
