--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -226,6 +226,9 @@
         "inputs",
         refuse.inputs());
     metrics.requestRefused(refusal.code());
+    if (refusal.closesConnection()) {
+      open.get().closeAfterResponse();
+    }
     open.get()
         .respond(
             HttpResponseStatus.valueOf(refusal.code().status()),
