--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -398,7 +398,8 @@
     @DisplayName("goes on, and is resumed")
     void goesOn(StopStage stage) {
       DispatchEffect.Send send = begun("/chat/x");
-      assertEquals(List.of(), host.apply(new DispatchEvent.Stopping(stage)));
+      assertEquals(
+          List.of(), host.apply(new DispatchEvent.Stopping(new StopPlan(stage, host.now()))));
       assertFinishes(wakeUntilSent(breakOff(send)));
     }
   }
