Random play of streams beside restrictions, failed events and dead connections

The check is the sentence of docs/design/answers.md; beside it, no answer that has begun may be cut from a server that goes on before its deadline. The draws and checks of the two former plays are as before.

--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -38,7 +38,7 @@
 
   private DispatchEffect.Send sent(String path) {
     receivedAt = host.now();
-    firstEffects = host.receive(path, sharedWork());
+    firstEffects = host.receive(path, sharedWork(PART.identity()));
     return only(firstEffects, DispatchEffect.Send.class);
   }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -222,7 +222,7 @@
   List<DispatchEffect> restrict(Trait trait) {
     List<TraitReport.ReportedLoss> losses = new ArrayList<>();
     for (int loss = 0; loss < 3; loss++) {
-      losses.add(new TraitReport.ReportedLoss(900 + loss, true, 100 + 400L * loss));
+      losses.add(new TraitReport.ReportedLoss(900 + loss, true, 1 + 301L * loss));
     }
     return apply(
         new DispatchEvent.QuarantineNews(
@@ -244,10 +244,9 @@
   }
 
   /** Returns work whose first part other requests have as well. */
-  static Optional<ModelWork> sharedWork() {
+  static Optional<ModelWork> sharedWork(long part) {
     return Optional.of(
-        new ModelWork(
-            ADAPTER, 100, 50, List.of(new PromptPart(PART.identity(), 50), new PromptPart(8, 50))));
+        new ModelWork(ADAPTER, 100, 50, List.of(new PromptPart(part, 50), new PromptPart(8, 50))));
   }
 
   static <T> T only(List<DispatchEffect> effects, Class<T> type) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeStreamServers.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakeStreamServers.java
@@ -8,10 +8,12 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import org.parsleyhead.core.quarantine.Trait;
 
 /**
  * The event loop of a host and the servers behind it, on a manual clock. Servers fall silent, break
- * off and reject requests at random; events and effects cross each other on their way.
+ * off and reject requests at random; events and effects cross each other on their way. On request,
+ * servers take no connection either, and the host fails to handle events.
  *
  * <p>Confined to one thread.
  */
@@ -20,6 +22,7 @@
   private static final long MILLISECOND = 1_000_000;
   private static final long SILENCE = 1_200 * MILLISECOND;
   private static final long REPEATED_SILENCE = 400 * MILLISECOND;
+  private static final long CONNECT_TIMEOUT = 400 * MILLISECOND;
 
   private final DispatchFixture host;
   private final Random random;
@@ -30,29 +33,59 @@
   private long sequence;
   private long lastEventArrival;
   private long lastEffectArrival;
-
-  FakeStreamServers(DispatchFixture host, long seed) {
+  private final boolean faults;
+  private int quarantineWaits;
+  private int failedEvents;
+
+  /**
+   * Creates servers without any request.
+   *
+   * @param faults whether servers take no connection and events fail to be handled, at random
+   */
+  FakeStreamServers(DispatchFixture host, long seed, boolean faults) {
     this.host = host;
+    this.faults = faults;
     this.random = new Random(seed);
   }
 
-  /** What became of the callers. */
-  record Outcome(int complete, int refused, int brokenOff, int keptAttempts) {}
+  /**
+   * What became of the callers.
+   *
+   * @param quarantineWaits how often a stream waited because a trait of it was restricted
+   * @param failedEvents how many events the host failed to handle
+   */
+  record Outcome(
+      int complete,
+      int refused,
+      int brokenOff,
+      int keptAttempts,
+      int quarantineWaits,
+      int failedEvents) {}
 
   /** Schedules an event of the host itself. */
   void at(Duration time, DispatchEvent event) {
-    schedule(time.toNanos(), () -> deliver(event));
+    schedule(time.toNanos(), () -> execute(host.apply(event)));
+  }
+
+  /** Schedules the news of another host that restrict a trait, if no answer speaks for it. */
+  void restrictAt(Duration time, Trait trait) {
+    schedule(time.toNanos(), () -> execute(host.restrict(trait)));
   }
 
   /** Schedules a caller. */
   void call(Duration time, String path, int routeAttempts) {
+    call(time, path, routeAttempts, DispatchFixture.work(DispatchFixture.ADAPTER));
+  }
+
+  /** Schedules a caller with some work. */
+  void call(Duration time, String path, int routeAttempts, Optional<ModelWork> work) {
     schedule(
         time.toNanos(),
         () ->
             execute(
                 host.receive(
                     path,
-                    DispatchFixture.work(DispatchFixture.ADAPTER),
+                    work,
                     FakeCallers.DEADLINE,
                     key -> calls.put(key, new Call(key, now, routeAttempts)))));
   }
@@ -82,7 +115,9 @@
         count(Ending.COMPLETE),
         count(Ending.REFUSED),
         count(Ending.BROKEN_OFF),
-        calls.values().stream().mapToInt(call -> call.keptAttempts).sum());
+        calls.values().stream().mapToInt(call -> call.keptAttempts).sum(),
+        quarantineWaits,
+        failedEvents);
   }
 
   private int count(Ending ending) {
@@ -90,7 +125,23 @@
   }
 
   private void deliver(DispatchEvent event) {
-    execute(host.apply(event));
+    if (faults && random.nextInt(100) < 3) {
+      failedEvents++;
+      fail(event);
+    } else {
+      execute(host.apply(event));
+    }
+  }
+
+  /** Fails to handle an event; like a duty, drops it if it belongs to no active request. */
+  private void fail(DispatchEvent event) {
+    List<DispatchEffect> effects;
+    try {
+      effects = host.fail(event);
+    } catch (IllegalStateException dropped) {
+      effects = List.of();
+    }
+    execute(effects);
   }
 
   /** Passes an event to the duty; events keep their order. */
@@ -123,7 +174,9 @@
     } else if (effect instanceof DispatchEffect.WithdrawAttempt withdraw) {
       withdraw(calls.get(withdraw.request().key()), withdraw);
     } else if (effect instanceof DispatchEffect.CancelAttempt cancel) {
-      calls.get(cancel.request().key()).attempt = null;
+      cancel(calls.get(cancel.request().key()), cancel.reason());
+    } else if (effect instanceof DispatchEffect.ResumptionDelayed delayed) {
+      quarantineWaits += delayed.code() == DispatchRefusal.Code.QUARANTINED ? 1 : 0;
     } else if (effect instanceof DispatchEffect.Abort abort) {
       breakOff(calls.get(abort.request().key()), abort.reason());
     } else if (effect instanceof DispatchEffect.Refuse refuse) {
@@ -152,6 +205,8 @@
       endLater(attempt, AttemptOutcome.MISDIRECTED);
     } else if (kind < 18) {
       endLater(attempt, AttemptOutcome.FAILED);
+    } else if (faults && kind < 25) {
+      endAfter(CONNECT_TIMEOUT, attempt, AttemptOutcome.NOT_SENT);
     } else {
       attempt.remaining = 3 + random.nextInt(4);
       attempt.breaksAt = random.nextInt(100) < 15 ? random.nextInt(attempt.remaining) : -1;
@@ -177,8 +232,12 @@
   }
 
   private void endLater(Attempt attempt, AttemptOutcome outcome) {
+    endAfter((5 + random.nextInt(100)) * MILLISECOND, attempt, outcome);
+  }
+
+  private void endAfter(long delay, Attempt attempt, AttemptOutcome outcome) {
     schedule(
-        now + (5 + random.nextInt(100)) * MILLISECOND,
+        now + delay,
         () -> {
           if (attempt.live()) {
             attempt.end(outcome);
@@ -235,12 +294,22 @@
     }
   }
 
+  private void cancel(Call call, String reason) {
+    if (call.attempt != null && call.started && !late(call)) {
+      violations.add(call + " is cut from a server that goes on: " + reason);
+    }
+    call.attempt = null;
+  }
+
+  private boolean late(Call call) {
+    return now >= call.receivedAt + FakeCallers.DEADLINE.toNanos();
+  }
+
   private void breakOff(Call call, String reason) {
     if (call.ending != null) {
       return;
     }
-    boolean late = now >= call.receivedAt + FakeCallers.DEADLINE.toNanos();
-    if (!late && call.possibleRuns < call.routeAttempts) {
+    if (!late(call) && call.possibleRuns < call.routeAttempts) {
       violations.add(call + " is broken off: " + reason);
     }
     end(call, Ending.BROKEN_OFF);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamGuaranteeTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamGuaranteeTests.java
@@ -6,10 +6,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.quarantine.Trait;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -24,11 +29,64 @@
   private static final Duration CHANGE_INTERVAL = Duration.ofMillis(300);
   private static final Duration CALL_INTERVAL = Duration.ofMillis(60);
 
-  private static FakeStreamServers play(long seed, boolean changes) {
+  /** Two requests each have a part in common, which is restricted and then lifted. */
+  private static final int SHARING = 2;
+
+  private static final Duration FIRST_NEWS = Duration.ofMillis(800);
+  private static final Duration NEWS_INTERVAL = Duration.ofMillis(350);
+  private static final int NEWS = 4;
+  private static final Duration LIFT = Duration.ofMillis(3_500);
+  private static final Duration ANNOUNCEMENT_INTERVAL = Duration.ofSeconds(2);
+
+  /** Plays restrictions and faults of the host beside what the servers do. */
+  private static FakeStreamServers playFaults(long seed) {
     Random random = new Random(seed);
+    DispatchFixture host = fourServers();
+    FakeStreamServers servers = new FakeStreamServers(host, seed, true);
+    long call = 0;
+    for (Duration at = Duration.ZERO; at.compareTo(DURATION) < 0; at = at.plus(CALL_INTERVAL)) {
+      Trait trait = new Trait(Trait.Kind.PROMPT_PART, 100 + call / SHARING);
+      Optional<ModelWork> work = DispatchFixture.sharedWork(trait.identity());
+      switch (random.nextInt(4)) {
+        case 0 -> servers.call(at, "/audit/x", 1, work);
+        case 1 -> servers.call(at, "/chat/x", 2, work);
+        default -> servers.call(at, "/talk/x", 3, work);
+      }
+      if (++call % SHARING == 0) {
+        for (int news = 0; news < NEWS; news++) {
+          servers.restrictAt(at.plus(FIRST_NEWS).plus(NEWS_INTERVAL.multipliedBy(news)), trait);
+        }
+        servers.at(at.plus(LIFT), new DispatchEvent.RestrictionLifted(trait));
+      }
+    }
+    long number = 2;
+    for (Duration at = ANNOUNCEMENT_INTERVAL;
+        at.compareTo(DURATION) < 0;
+        at = at.plus(ANNOUNCEMENT_INTERVAL)) {
+      servers.at(at, new DispatchEvent.InstancesAnnounced(engines(number++)));
+    }
+    servers.run();
+    return servers;
+  }
+
+  /** Returns the servers, which all have the adapter; those that said otherwise have it again. */
+  private static List<Instance> engines(long number) {
+    Map<AdapterKey, Long> held = Map.of(DispatchFixture.ADAPTER, 1L);
+    return Stream.of("e1", "e2", "e3", "e4")
+        .map(name -> DispatchFixture.instance(name, "engine", false, number, held))
+        .toList();
+  }
+
+  private static DispatchFixture fourServers() {
     DispatchFixture host = DispatchFixture.running();
     host.announce(DispatchFixture.engine("e3"), DispatchFixture.engine("e4"));
-    FakeStreamServers servers = new FakeStreamServers(host, seed);
+    return host;
+  }
+
+  private static FakeStreamServers play(long seed, boolean changes) {
+    Random random = new Random(seed);
+    DispatchFixture host = fourServers();
+    FakeStreamServers servers = new FakeStreamServers(host, seed, false);
     for (Duration at = Duration.ZERO; at.compareTo(DURATION) < 0; at = at.plus(CALL_INTERVAL)) {
       switch (random.nextInt(4)) {
         case 0 -> servers.call(at, "/talk/x", 3);
@@ -86,4 +144,22 @@
   void endEarlyOnlyIfTheyMayNotRunAgainBesideChanges() {
     check(true);
   }
+
+  @Test
+  @DisplayName("end early only if they may not run again beside restrictions and failed events")
+  void endEarlyOnlyIfTheyMayNotRunAgainBesideFaults() {
+    int complete = 0;
+    int waits = 0;
+    int failed = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      FakeStreamServers servers = playFaults(seed);
+      assertEquals(List.of(), servers.violations(), "seed " + seed);
+      complete += servers.outcome().complete();
+      waits += servers.outcome().quarantineWaits();
+      failed += servers.outcome().failedEvents();
+    }
+    assertTrue(complete > 0, "no stream was complete");
+    assertTrue(waits > 0, "no stream waited for the end of a restriction");
+    assertTrue(failed > 0, "no event failed");
+  }
 }
