A stream that waits for memory is not taken for silent

A resumed stream may wait for memory within its first event. Nothing is read from its server then, so that a withdrawal for its silence, or for a quarantine, keeps it, as one whose first event has come.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/EventStream.java
@@ -54,6 +54,11 @@
     return silenceTimer.silent();
   }
 
+  /** Returns whether the server is read and has sent no event yet. */
+  boolean awaitsFirstEvent() {
+    return !started && !waitsForMemory;
+  }
+
   /** Returns the bytes of the event that is not complete yet. */
   int pendingBytes() {
     return events.pendingBytes();
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -122,7 +122,7 @@
    * have begun to answer, has sent none for some time. A plain response is silent until its end.
    */
   boolean silent(boolean answering) {
-    return answering ? stream.silent() : !stream.started();
+    return answering ? stream.silent() : stream.awaitsFirstEvent();
   }
 
   /** Closes the connection; nothing more is forwarded. */
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeRawServer.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeRawServer.java
@@ -48,7 +48,7 @@
   }
 
   /** Returns the number of connections that the other side has closed. */
-  int endedConnections() {
+  public int endedConnections() {
     return endedConnections.get();
   }
 
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/StreamMemoryTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/StreamMemoryTests.java
@@ -89,7 +89,7 @@
     try (FakeRawServer server = new FakeRawServer(this::answer);
         ForwardingHost host = new ForwardingHost(server.port());
         RawCaller small = new RawCaller(host)) {
-      List<Future<Optional<RawCaller.Response>>> calls = callAll(host);
+      final List<Future<Optional<RawCaller.Response>>> calls = callAll(host);
       awaitBufferedBytes(host, SHARE_BYTES);
       assertTrue(host.bufferedBytes() <= LIMIT_BYTES, () -> "buffered too much");
       assertEquals(Optional.of(new RawCaller.Response(200, "x")), small.call("/plain", "small"));
