--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchEffectExecutorTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchEffectExecutorTests.java
@@ -205,6 +205,27 @@
     }
   }
 
+  @Test
+  @DisplayName("ends an answer that has begun at its deadline, on both sides")
+  void endsBegunAnswerAtDeadline() throws Exception {
+    try (FakeRawServer server =
+            new FakeRawServer((identifier, output) -> write(output, HEAD + EVENT));
+        Socket caller = request("/stream")) {
+      ServingRequest request = send(server.port());
+      next(DispatchEvent.ResponseStarted.class);
+      executor.accept(new DispatchEffect.CancelAttempt(request, 1, "deadline"));
+      executor.accept(new DispatchEffect.Abort(request, "TIMED_OUT", "left_ms=0"));
+      assertTrue(readUntil(caller, END).endsWith("<closed>"));
+      while (server.endedConnections() == 0) {
+        Thread.sleep(10);
+      }
+      awaitEffects();
+      assertEquals(1, logged("send_cancelled").size());
+      assertEquals(1, logged("broken_off").size());
+      assertBrokenOff(1);
+    }
+  }
+
   @Test
   @DisplayName("leaves an answer alone that was complete as its deadline passed")
   void leavesCompleteAnswerAlone() throws Exception {
