--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/RunRecords.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/RunRecords.java
@@ -34,6 +34,11 @@
       end = "left by host";
     }
 
+    /** Returns whether the run was at the server that a host calls by a name. */
+    boolean isAt(String name) {
+      return name.equals("server-" + server);
+    }
+
     boolean endedByServer() {
       return end.equals("broken off");
     }
