A retry that is reserved is returned whatever ends its request

When a silent attempt is withdrawn, the retry for its next one is charged at once. If the request ended before that one was sent - its caller left, its deadline came, an event of it failed - the retry was lost, so that others were refused or stayed with silent servers for want of it: too few retries, never too many.

RequestCompletion.release, which every end of a request passes now, returns it. It goes back to the budget as it stands; a budget that is gone with its service gets none.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -53,12 +53,11 @@
     return dispatcher.leaveSilentServer(state, active, time);
   }
 
-  DispatchState onAttemptKept(
-      DispatchState state, DispatchEvent.AttemptKept kept, MonotonicTime time) {
+  DispatchState onAttemptKept(DispatchState state, DispatchEvent.AttemptKept kept) {
     ActiveRequest active = state.requests().get(kept.requestKey());
     return active == null || active.progress().attempts() != kept.attempt()
         ? state
-        : dispatcher.retries().refund(state, active, time);
+        : RequestRetries.refund(state, active);
   }
 
   Step<DispatchState, DispatchEffect> onAttemptEnded(
@@ -70,7 +69,7 @@
     if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
       return onCurrentAttemptEnded(state, active, ended.result(), time);
     }
-    DispatchState returned = dispatcher.retries().refund(state, active, time);
+    DispatchState returned = RequestRetries.refund(state, active);
     return onCurrentAttemptEnded(
         returned, returned.requests().get(active.key()), ended.result(), time);
   }
@@ -94,7 +93,7 @@
     if (active == null) {
       return Step.of(state);
     }
-    DispatchState next = RequestCompletion.withoutAddedLoad(state, active).withoutRequest(key);
+    DispatchState next = RequestCompletion.release(state, active, false);
     if (active.progress().phase() != Phase.SENT) {
       return Step.of(next);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -58,7 +58,7 @@
       return attemptEvents.onStreamSilent(state, silent, time);
     }
     if (event instanceof DispatchEvent.AttemptKept kept) {
-      return Step.of(attemptEvents.onAttemptKept(state, kept, time));
+      return Step.of(attemptEvents.onAttemptKept(state, kept));
     }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return attemptEvents.onAttemptEnded(state, ended, time);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -8,7 +8,7 @@
 import org.parsleyhead.core.serving.AccountLimits;
 
 /**
- * Completes requests and releases the load and the account units that they occupy.
+ * Completes requests and releases the load, the account units and the retry that they occupy.
  *
  * <p>Stateless and thread-safe. A refusal states that a request has not run only if that is
  * certain.
@@ -98,7 +98,8 @@
    * @param refund whether its units are refunded to the account, since it has not run
    */
   static DispatchState release(DispatchState state, ActiveRequest active, boolean refund) {
-    DispatchState next = withoutAddedLoad(state, active).withoutRequest(active.key());
+    DispatchState next =
+        RequestRetries.refund(withoutAddedLoad(state, active), active).withoutRequest(active.key());
     if (!refund || active.account().isEmpty()) {
       return next;
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -114,11 +114,6 @@
     return loads;
   }
 
-  /** Returns the accounting of retries. */
-  RequestRetries retries() {
-    return retries;
-  }
-
   /** Fails a request that cannot be retried now, with a Retry-After if it has not run. */
   Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestRetries.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestRetries.java
@@ -6,7 +6,8 @@
  * Charges the retries of requests to the budget of their service.
  *
  * <p>Immutable and thread-safe. A retry is charged once: when a silent attempt is withdrawn in
- * favour of the next one, or else when the next one is sent.
+ * favour of the next one, or else when the next one is sent. One that is not made is returned,
+ * whatever ends the request.
  */
 final class RequestRetries {
 
@@ -31,12 +32,13 @@
             active.service(), state.budget(settings, active.service(), time).spend());
   }
 
-  /** Returns the retry that a request has in reserve, since its attempt was not withdrawn. */
-  DispatchState refund(DispatchState state, ActiveRequest active, MonotonicTime time) {
-    return active.progress().history().retryReserved()
-        ? state
-            .withBudget(active.service(), state.budget(settings, active.service(), time).refund())
-            .withRequest(active.with(active.progress().withRetryReserved(false)))
-        : state;
+  /** Returns the retry that a request has in reserve, since it is not made. */
+  static DispatchState refund(DispatchState state, ActiveRequest active) {
+    if (!active.progress().history().retryReserved()) {
+      return state;
+    }
+    DispatchState next = state.withRequest(active.with(active.progress().withRetryReserved(false)));
+    RetryBudget budget = state.budgets().get(active.service());
+    return budget == null ? next : next.withBudget(active.service(), budget.refund());
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.parsleyhead.core.dispatch.DispatchFixture.ADAPTER;
@@ -8,6 +9,8 @@
 import static org.parsleyhead.core.dispatch.DispatchFixture.work;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
@@ -74,6 +77,78 @@
     only(host.apply(silent(one)), DispatchEffect.WithdrawAttempt.class);
   }
 
+  private boolean retryIsLeft() {
+    return host.state().budgets().get("engine").allows();
+  }
+
+  /** Guards against retries that were reserved, never made, and lost. */
+  @Nested
+  @DisplayName("that ends before its next one returns the reserved retry")
+  class ReturnsReservedRetry {
+
+    @BeforeEach
+    void spendOthers() {
+      host.exhaustBudget("engine");
+      assertFalse(retryIsLeft());
+    }
+
+    @Test
+    @DisplayName("if its caller leaves")
+    void callerLeaves() {
+      host.apply(new DispatchEvent.CallerDisconnected(first.request().key()));
+      assertTrue(retryIsLeft());
+    }
+
+    @Test
+    @DisplayName("if its caller leaves while the request waits for a server")
+    void callerLeavesWhileItWaits() {
+      host.announce(
+          DispatchFixture.instance("e1", "engine", false, 2, Map.of()),
+          DispatchFixture.instance("e2", "engine", false, 2, Map.of()));
+      host.end(first, AttemptOutcome.WITHDRAWN, false);
+      assertFalse(retryIsLeft());
+      host.apply(new DispatchEvent.CallerDisconnected(first.request().key()));
+      assertTrue(retryIsLeft());
+    }
+
+    @Test
+    @DisplayName("at its deadline")
+    void deadline() {
+      List<DispatchEffect> effects = checked;
+      do {
+        DispatchEvent.Wake wake = host.awaitWake(effects);
+        host.exhaustBudget("engine");
+        effects = host.apply(wake);
+      } while (host.state().activeRequests() > 0);
+      assertTrue(retryIsLeft());
+    }
+
+    @Test
+    @DisplayName("if its end fails to be handled")
+    void failure() {
+      host.fail(
+          new DispatchEvent.AttemptEnded(
+              first.request().key(),
+              1,
+              new AttemptResult(AttemptOutcome.BROKEN, 0, false, false, Optional.empty(), "test")));
+      assertEquals(0, host.state().activeRequests());
+      assertTrue(retryIsLeft());
+    }
+
+    @Test
+    @DisplayName("once, if it completes although that fails to be handled")
+    void completion() {
+      host.fail(
+          new DispatchEvent.AttemptEnded(
+              first.request().key(),
+              1,
+              new AttemptResult(
+                  AttemptOutcome.COMPLETED, 200, true, false, Optional.empty(), "test")));
+      assertTrue(retryIsLeft());
+      assertEquals(1, host.state().budgets().get("engine").level());
+    }
+  }
+
   private DispatchEffect.Send started() {
     DispatchEffect.Send send = host.send("/chat/x", work(ADAPTER));
     host.apply(new DispatchEvent.ResponseStarted(send.request().key(), 1));
