A stream that waits asks for a load again only after the load timeout

A stream that had begun and waited for a server asked for loads at each look: 105 load requests of one stream in 5 s, which the owners and other requests pay for. Each wait began a new row of three.

The wait does not begin a new row any more. After the first row, which asks other servers at once when one refuses, the stream asks again once its last request is 300 ms old and can no longer be answered; it looks each 100 ms as before, since a server may get the adapter in another way. Requests that have not begun are answered as before.

StreamResumptionTests.Waits.whileLoadsAreRefused failed before: three asks each at 0, 150, 300 and 400 ms, and so on.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -68,15 +68,15 @@
     if (!settings.waitPolicy().waits(settings.coldLoad(), active.deadline().since(time))) {
       return refuse(state, active, EXPECTED_SLOT_DELAY, time);
     }
-    if (active.progress().loadRequests() >= MAXIMUM_LOAD_REQUESTS) {
-      return loadTimeElapsed(active, time)
+    if (!mayRequest(active, time)) {
+      return active.progress().responseStarted() || loadTimeElapsed(active, time)
           ? refuse(state, active, EXPECTED_SLOT_DELAY, time)
           : RequestWakes.schedule(
               state,
               active.with(active.progress().withoutLoadRequests().waiting()),
               SLOT_RETRY_DELAY);
     }
-    ActiveRequest loading = active.with(active.progress().loading(view.identifier()));
+    ActiveRequest loading = active.with(active.progress().requestingLoad(view.identifier(), time));
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
@@ -84,6 +84,23 @@
         .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT));
   }
 
+  /**
+   * Returns whether a request may ask for a load now. A stream that has started and waits for a
+   * server asks again once its last request can no longer be answered, however often it looks.
+   */
+  private static boolean mayRequest(ActiveRequest active, MonotonicTime time) {
+    LoadRequests loads = active.progress().loads();
+    if (loads.count() < MAXIMUM_LOAD_REQUESTS) {
+      return true;
+    }
+    boolean timedOut =
+        loads
+            .lastAt()
+            .map(lastAt -> time.since(lastAt).compareTo(LOAD_RESPONSE_TIMEOUT) >= 0)
+            .orElse(true);
+    return active.progress().responseStarted() && timedOut;
+  }
+
   /** Waits for a load that was ordered. */
   Step<DispatchState, DispatchEffect> await(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
@@ -121,6 +138,7 @@
     MonotonicTime possibleFrom =
         active
             .progress()
+            .loads()
             .ownerExpectedAt()
             .map(expectedAt -> expectedAt.plus(OWNER_START_DELAY))
             .orElse(active.receivedAt());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -12,20 +12,18 @@
  * @param assignment the current phase and instance
  * @param history the attempts so far
  * @param responseStarted whether a part of the response was written to the caller
- * @param ownerExpectedAt when a host was last expected to be able to order loads for the request
- * @param loadRequests the number of load requests
+ * @param loads the loads that the request has asked for
  * @param wakeNumber the number of the newest wake event; older events are ignored
  */
 record Progress(
     Assignment assignment,
     AttemptHistory history,
     boolean responseStarted,
-    Optional<MonotonicTime> ownerExpectedAt,
-    int loadRequests,
+    LoadRequests loads,
     int wakeNumber) {
 
   static final Progress INITIAL =
-      new Progress(Assignment.WAITING, AttemptHistory.NONE, false, Optional.empty(), 0, 0);
+      new Progress(Assignment.WAITING, AttemptHistory.NONE, false, LoadRequests.NONE, 0);
 
   Phase phase() {
     return assignment.phase();
@@ -51,24 +49,22 @@
     return history.excluded();
   }
 
+  /** Returns this progress while it waits for a load that was ordered for another request. */
   Progress loading(String target) {
-    return new Progress(
-        Assignment.loading(target),
-        history,
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests + 1,
-        wakeNumber + 1);
+    return loading(target, loads.withWait());
+  }
+
+  /** Returns this progress while it waits for a load that it asks for now. */
+  Progress requestingLoad(String target, MonotonicTime time) {
+    return loading(target, loads.withRequest(time));
+  }
+
+  private Progress loading(String target, LoadRequests next) {
+    return new Progress(Assignment.loading(target), history, responseStarted, next, wakeNumber + 1);
   }
 
   Progress waiting() {
-    return new Progress(
-        Assignment.WAITING,
-        history,
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber + 1);
+    return new Progress(Assignment.WAITING, history, responseStarted, loads, wakeNumber + 1);
   }
 
   /** Returns this progress while it waits for a host that may order the load. */
@@ -77,42 +73,25 @@
         Assignment.WAITING,
         history,
         responseStarted,
-        Optional.of(expectedAt),
-        loadRequests,
+        loads.withOwnerExpected(expectedAt),
         wakeNumber + 1);
   }
 
   Progress sent(String target, InstanceLoad load) {
     return new Progress(
-        Assignment.sent(target, load),
-        history.withSent(),
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber + 1);
+        Assignment.sent(target, load), history.withSent(), responseStarted, loads, wakeNumber + 1);
   }
 
   /** Returns this progress after the response has started, by when the prompt is processed. */
   Progress withResponseStarted() {
     InstanceLoad unread = new InstanceLoad(0, addedLoad().pendingPromptTokens(), 0);
     return new Progress(
-        assignment.withAnswering(addedLoad().minus(unread)),
-        history,
-        true,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber);
+        assignment.withAnswering(addedLoad().minus(unread)), history, true, loads, wakeNumber);
   }
 
   /** Returns this progress after the response has started, with all load still added. */
   Progress withUncountedResponseStart() {
-    return new Progress(
-        assignment.withAnswering(addedLoad()),
-        history,
-        true,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber);
+    return new Progress(assignment.withAnswering(addedLoad()), history, true, loads, wakeNumber);
   }
 
   /**
@@ -122,41 +101,25 @@
    */
   Progress withAttemptEnded(AttemptHistory next) {
     return new Progress(
-        assignment.withAddedLoad(InstanceLoad.NONE),
-        next,
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber + 1);
+        assignment.withAddedLoad(InstanceLoad.NONE), next, responseStarted, loads, wakeNumber + 1);
   }
 
   Progress withoutExclusions() {
     return new Progress(
-        assignment,
-        history.withoutExclusions(),
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber);
+        assignment, history.withoutExclusions(), responseStarted, loads, wakeNumber);
   }
 
   Progress withoutLoadRequests() {
-    return new Progress(assignment, history, responseStarted, ownerExpectedAt, 0, wakeNumber);
+    return new Progress(assignment, history, responseStarted, loads.withoutRow(), wakeNumber);
   }
 
   Progress withNextWake() {
-    return new Progress(
-        assignment, history, responseStarted, ownerExpectedAt, loadRequests, wakeNumber + 1);
+    return new Progress(assignment, history, responseStarted, loads, wakeNumber + 1);
   }
 
   /** Returns this progress with or without a retry that was charged for the next attempt. */
   Progress withRetryReserved(boolean reserved) {
     return new Progress(
-        assignment,
-        history.withRetryReserved(reserved),
-        responseStarted,
-        ownerExpectedAt,
-        loadRequests,
-        wakeNumber);
+        assignment, history.withRetryReserved(reserved), responseStarted, loads, wakeNumber);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -131,7 +131,7 @@
         + " possible_runs="
         + progress.possibleRuns()
         + " loads_asked="
-        + progress.loadRequests()
+        + progress.loads().count()
         + " account="
         + active.account().map(AccountLimits::name).map(ClientAccountName::text).orElse("none")
         + " elapsed_ms="
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -42,7 +42,7 @@
     if (!resumable(active, time)) {
       return Optional.empty();
     }
-    Progress progress = active.progress().withoutLoadRequests();
+    Progress progress = active.progress();
     // Without any other instance, one that failed before is better than none.
     Progress next = withoutInstance(code) ? progress.withoutExclusions() : progress;
     Duration timeLeft = active.deadline().since(time);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StreamResumptionTests.java
@@ -9,6 +9,7 @@
 import static org.parsleyhead.core.dispatch.DispatchFixture.work;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.DisplayName;
@@ -148,6 +149,35 @@
       only(wakeUntil(effects, DispatchEffect.Send.class), DispatchEffect.Send.class);
     }
 
+    /** Guards against 105 asks for loads in 5 s by one waiting stream. */
+    @Test
+    @DisplayName("while owners refuse the load, and asks for it again only after the load timeout")
+    void whileLoadsAreRefused() {
+      DispatchEffect.Send send = started("/chat/x");
+      host.announce(
+          DispatchFixture.instance("e1", "engine", false, 2, Map.of()),
+          DispatchFixture.instance("e2", "engine", false, 2, Map.of()));
+      List<DispatchEffect> effects = breakOff(send);
+      List<MonotonicTime> asks = new ArrayList<>();
+      while (!contains(effects, DispatchEffect.Abort.class)) {
+        if (contains(effects, DispatchEffect.RequestLoad.class)) {
+          asks.add(host.now());
+          DispatchEffect.RequestLoad load = only(effects, DispatchEffect.RequestLoad.class);
+          effects =
+              host.apply(new DispatchEvent.LoadRefused(load.instance(), load.adapter(), "no_slot"));
+        } else {
+          effects = host.wake(effects);
+        }
+      }
+      assertEquals(DEADLINE, elapsed());
+      int inRow = 3;
+      assertTrue(asks.size() > inRow, () -> "asked at " + asks);
+      for (int ask = inRow; ask < asks.size(); ask++) {
+        Duration between = asks.get(ask).since(asks.get(ask - 1));
+        assertFalse(between.compareTo(Duration.ofMillis(300)) < 0, () -> "asked at " + asks);
+      }
+    }
+
     @Test
     @DisplayName("if the second server has no room either")
     void withoutRoom() {
