A stop ends once the last byte of the last answer was written

The last stage of a stop waited 100 ms, 300 ms and 100 ms whatever was active, and counted the requests of the dispatch duty, which ends a request when its attempt ends and not when its answer has left the process. An answer that a slow caller was still reading was cut although its time was not over, and a stop with nothing to wait for took half a second too long.

The stop now waits for the count of the event loop: requests that were read completely and whose answer has not been written completely, refusals and pipelined requests included. It ends as soon as that is zero after the detection time, and at its time at the latest. The port is closed before the last look, so that nothing is taken after it.

The bound of the test for the timeout is stricter than it was (7.7 s before).

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -215,7 +215,8 @@
                 this::parkUntil,
                 plan -> dispatchEvents.send(new DispatchEvent.Stopping(plan)),
                 callers::closeIdle,
-                () -> dispatch.state().activeRequests())
+                callers::closePort,
+                callers::unansweredRequests)
             .run(settings.stopTimeout());
     dispatch.close();
     fleet.close();
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PlannedStop.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PlannedStop.java
@@ -19,7 +19,7 @@
   /** The load balancer polls once per second and removes a host after two failed polls. */
   private static final Duration BALANCER_DETECTION_TIME = Duration.ofMillis(2_700);
 
-  /** Time for complete responses in transit to arrive once all new requests are rejected. */
+  /** Time for the delivery of the responses that end last. */
   private static final Duration LAST_RESPONSES_DELAY = Duration.ofMillis(300);
 
   /** The part of a short stop that is left for the delivery of the last responses. */
@@ -31,7 +31,8 @@
   private final Consumer<MonotonicTime> sleepUntil;
   private final Consumer<StopPlan> plans;
   private final Runnable closeIdleConnections;
-  private final IntSupplier activeRequests;
+  private final Runnable closePort;
+  private final IntSupplier unansweredRequests;
 
   /**
    * Creates a stop that has not begun.
@@ -39,26 +40,30 @@
    * @param sleepUntil returns at a time of the clock
    * @param plans receives what may be admitted from now on
    * @param closeIdleConnections closes the connections of callers without an active request
-   * @param activeRequests returns the number of requests that were taken and have not ended
+   * @param closePort ends the acceptance of connections of callers
+   * @param unansweredRequests returns the number of requests that were taken and whose response has
+   *     not left this process completely
    */
   PlannedStop(
       MonotonicClock clock,
       Consumer<MonotonicTime> sleepUntil,
       Consumer<StopPlan> plans,
       Runnable closeIdleConnections,
-      IntSupplier activeRequests) {
+      Runnable closePort,
+      IntSupplier unansweredRequests) {
     this.clock = clock;
     this.sleepUntil = sleepUntil;
     this.plans = plans;
     this.closeIdleConnections = closeIdleConnections;
-    this.activeRequests = activeRequests;
+    this.closePort = closePort;
+    this.unansweredRequests = unansweredRequests;
   }
 
   /**
    * Runs the stop, for as long as the requests that were taken need.
    *
    * @param timeout the time after which it no longer waits for them
-   * @return the number of requests that have not ended
+   * @return the number of requests that were not answered
    */
   int run(Duration timeout) {
     MonotonicTime started = clock.now();
@@ -67,24 +72,21 @@
         deadline.minus(shorter(LAST_RESPONSES_DELAY, timeout.dividedBy(LAST_RESPONSES_DIVISOR)));
     plans.accept(StopPlan.rejectEndingAfter(answersEndBy));
     sleepUntil.accept(started.plus(shorter(BALANCER_DETECTION_TIME, answersEndBy.since(started))));
-    awaitActiveRequests(answersEndBy);
+    awaitResponses(answersEndBy);
     plans.accept(StopPlan.REJECT_ALL);
-    awaitActiveRequests(deadline);
-    sleep(LAST_RESPONSES_DELAY);
-    closeIdleConnections.run();
-    sleep(CHECK_INTERVAL);
-    return activeRequests.getAsInt();
+    awaitResponses(deadline);
+    closePort.run();
+    awaitResponses(deadline);
+    return unansweredRequests.getAsInt();
   }
 
-  private void awaitActiveRequests(MonotonicTime deadline) {
+  /** Waits until all responses are written and the connections that carried them are closing. */
+  private void awaitResponses(MonotonicTime until) {
     do {
       closeIdleConnections.run();
-      sleep(CHECK_INTERVAL);
-    } while (activeRequests.getAsInt() > 0 && clock.now().isBefore(deadline));
-  }
-
-  private void sleep(Duration duration) {
-    sleepUntil.accept(clock.now().plus(duration));
+      MonotonicTime nextCheck = clock.now().plus(CHECK_INTERVAL);
+      sleepUntil.accept(nextCheck.isBefore(until) ? nextCheck : until);
+    } while (unansweredRequests.getAsInt() > 0 && clock.now().isBefore(until));
   }
 
   private static Duration shorter(Duration first, Duration second) {
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/PlannedStopTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/PlannedStopTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -16,10 +17,13 @@
 class PlannedStopTests {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(7);
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
   private static final MonotonicTime START = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
 
   private final List<StopPlan> plans = new ArrayList<>();
   private final List<MonotonicTime> plannedAt = new ArrayList<>();
+  private Optional<MonotonicTime> portClosedAt = Optional.empty();
+  private boolean takenAsPortCloses;
   private MonotonicTime now = START;
   private MonotonicTime takenAt = START;
   private MonotonicTime endsAt = START;
@@ -33,7 +37,12 @@
     takenAt = START.plus(taken);
     endsAt = START.plus(ended);
     return new PlannedStop(
-            () -> now, time -> now = time, this::planned, () -> {}, this::activeRequests)
+            () -> now,
+            time -> now = time,
+            this::planned,
+            () -> {},
+            this::closePort,
+            this::unanswered)
         .run(timeout);
   }
 
@@ -42,7 +51,15 @@
     plannedAt.add(now);
   }
 
-  private int activeRequests() {
+  private void closePort() {
+    portClosedAt = Optional.of(now);
+  }
+
+  private int unanswered() {
+    if (takenAsPortCloses && portClosedAt.equals(Optional.of(now.minus(CHECK_INTERVAL)))) {
+      takenAsPortCloses = false;
+      return 1;
+    }
     return !now.isBefore(takenAt) && now.isBefore(endsAt) ? 1 : 0;
   }
 
@@ -62,7 +79,7 @@
   @DisplayName("gives up a request that does not end in time, and says so")
   void endsAtTimeout() {
     assertEquals(1, stopWithRequest(Duration.ZERO, Duration.ofSeconds(60)));
-    assertTrue(elapsed().compareTo(TIMEOUT.plusMillis(700)) < 0, () -> "after " + elapsed());
+    assertTrue(elapsed().compareTo(TIMEOUT) <= 0, () -> "after " + elapsed());
   }
 
   @Test
@@ -92,4 +109,22 @@
     assertTrue(
         plans.get(0).answersEndBy().isBefore(START.plus(Duration.ofSeconds(2))), plans::toString);
   }
+
+  @Test
+  @DisplayName("ends as soon as all is answered once the load balancer has noticed it")
+  void endsOnceAllIsAnswered() {
+    assertEquals(0, stopWithRequest(Duration.ZERO, Duration.ofMillis(500)));
+    Duration limit = Duration.ofMillis(2_700).plus(CHECK_INTERVAL.multipliedBy(3));
+    assertTrue(elapsed().compareTo(limit) <= 0, () -> "after " + elapsed());
+  }
+
+  @Test
+  @DisplayName("closes the port at last, and then waits for what was taken until that")
+  void waitsForRequestTakenAsPortCloses() {
+    takenAsPortCloses = true;
+    assertEquals(0, stopWithRequest(Duration.ZERO, Duration.ofSeconds(4)));
+    Duration closed = portClosedAt.orElseThrow().since(START);
+    assertTrue(closed.compareTo(Duration.ofSeconds(4)) >= 0, () -> "port closed after " + closed);
+    assertEquals(CHECK_INTERVAL.multipliedBy(2), elapsed().minus(closed));
+  }
 }
