A flush of the log writes the line that the writer was collecting

The writer takes the first record of a batch and collects others for 100 ms. A process that ended in that time lost the line: its flush found an empty ring. Records now stay in the ring until they are written.

--- a/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/RingLogHandler.java
+++ b/parsleyhead-runtime/src/main/java/org/parsleyhead/runtime/log/RingLogHandler.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.logging.Handler;
@@ -16,7 +17,8 @@
  *
  * <p>Thread-safe. Logging never blocks: a record that does not fit in the ring is dropped and
  * counted. Lines about single requests are dropped before lines about the state of the process. The
- * writer sleeps between batches, so that many lines share one system call.
+ * writer sleeps between batches, so that many lines share one system call. Records stay in the ring
+ * until they are written, so that a flush finds all of them.
  */
 final class RingLogHandler extends Handler {
 
@@ -30,6 +32,7 @@
   private static final Duration BATCH_INTERVAL = Duration.ofMillis(100);
 
   private final ArrayBlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(CAPACITY_RECORDS);
+  private final Semaphore published = new Semaphore(0);
   private final LongAdder dropped = new LongAdder();
   private final EventLineFormatter formatter = new EventLineFormatter();
   private final PrintStream output;
@@ -52,11 +55,12 @@
     if (!fits || !queue.offer(record)) {
       dropped.increment();
     }
+    published.release();
   }
 
   /** Writes all pending records; called when the process exits. */
   @Override
-  public void flush() {
+  public synchronized void flush() {
     List<LogRecord> batch = new ArrayList<>();
     queue.drainTo(batch);
     write(batch);
@@ -70,18 +74,17 @@
   private void run() {
     try {
       while (true) {
-        List<LogRecord> batch = new ArrayList<>();
-        batch.add(queue.take());
+        published.acquire();
         TimeUnit.NANOSECONDS.sleep(BATCH_INTERVAL.toNanos());
-        queue.drainTo(batch);
-        write(batch);
+        published.drainPermits();
+        flush();
       }
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private synchronized void write(List<LogRecord> batch) {
+  private void write(List<LogRecord> batch) {
     StringBuilder text = new StringBuilder();
     batch.forEach(record -> text.append(formatter.format(record)));
     long droppedRecords = dropped.sumThenReset();
