A stop names the requests that it leaves unanswered

"stopped unanswered=3" named no request, so an engineer on call could not tell which callers were cut, nor whether they were taken before or after the signal.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -1,8 +1,11 @@
 package org.parsleyhead.core.dispatch;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
@@ -63,6 +66,16 @@
     return requests.size() + startup.size();
   }
 
+  /** Returns the requests that are active or wait for the catalogue, the oldest first. */
+  public List<ActiveRequestSummary> activeSummaries() {
+    Stream<ActiveRequestSummary> active = requests.values().stream().map(ActiveRequestSummary::of);
+    Stream<ActiveRequestSummary> waiting =
+        startup.requests().stream().map(ActiveRequestSummary::of);
+    return Stream.concat(active, waiting)
+        .sorted(Comparator.comparing(ActiveRequestSummary::receivedAt))
+        .toList();
+  }
+
   /**
    * Returns the units that this host has admitted for each rate-limited account since it started.
    */
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StopAdmissionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/StopAdmissionTests.java
@@ -135,6 +135,25 @@
     assertEquals(0, fresh.state().activeRequests());
   }
 
+  @Test
+  @DisplayName("names the requests that have not ended, the oldest first")
+  void namesActiveRequests() {
+    final MonotonicTime received = host.now();
+    DispatchEffect.Send send = host.send("/read/x", Optional.empty());
+    host.advance(Duration.ofSeconds(1));
+    host.send("/chat/x", work(ADAPTER));
+    List<ActiveRequestSummary> summaries = host.state().activeSummaries();
+    assertEquals(2, summaries.size());
+    assertEquals(
+        new ActiveRequestSummary(
+            send.request().identifier(),
+            Optional.of(send.instance().identifier()),
+            1,
+            received,
+            Optional.of(received.plus(ROUTE_TIMEOUT))),
+        summaries.get(0));
+  }
+
   @Test
   @DisplayName("leaves no request unanswered that it took after the signal, under a steady load")
   void leavesNothingUnanswered() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -207,6 +207,7 @@
   @Override
   public ExitStatus stop() {
     LOG.info("stopping", "active_requests", dispatch.state().activeRequests());
+    final MonotonicTime signalAt = clock.now();
     stopping.set(true);
     fleetEvents.send(new FleetEvent.Leaving());
     final int unanswered =
@@ -221,6 +222,8 @@
     dispatch.close();
     fleet.close();
     publication.close();
+    UnansweredReport.of(dispatch.state().activeSummaries(), signalAt, clock.now())
+        .forEach(event -> LOG.warning("unanswered", event));
     LOG.info("stopped", "unanswered", unanswered);
     return unanswered == 0 ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
   }
