The time of a planned stop follows the grace of the platform

process.stop_time had a default of 7 s that the deployment did not set, so a platform with a shorter grace killed the process in the middle of its stop, and one with a longer grace cut requests that had time left. process.grace states after what time the platform kills a stopped process; the stop takes all of it except an eighth, at most 1 s, for the end of the process. process.stop_time wins if it is set. Both are rejected out of their limits.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettings.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettings.java
@@ -22,7 +22,7 @@
  * @param firstStart whether the whole fleet starts for the first time
  * @param capacityPercent the processor share of the host, in hundredths of a core
  * @param publicationEndpoint the endpoint of the platform's store
- * @param stopTimeout the maximum duration of a planned stop
+ * @param stopTimeout the maximum duration of a planned stop, less than the grace of the platform
  * @param removalGrace how long an instance whose announcement was removed is used if there is no
  *     other
  * @param leaseGap the minimum time between the orders of two hosts to one server
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettingsReader.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettingsReader.java
@@ -14,8 +14,18 @@
 
   private static final Endpoint MISSING_ENDPOINT = new Endpoint("0.0.0.0", 1);
 
-  /** Less than the time after which the platform kills a process that was asked to stop. */
-  private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofMillis(7_000);
+  /** As stated in the data sheets of the deployments. */
+  private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
+
+  private static final Duration MINIMUM_GRACE = Duration.ofSeconds(1);
+  private static final Duration MAXIMUM_GRACE = Duration.ofMinutes(30);
+  private static final Duration MINIMUM_STOP_TIME = Duration.ofMillis(500);
+
+  /** The part of a short grace that remains for the end of the process. */
+  private static final int EXIT_TIME_DIVISOR = 8;
+
+  /** Enough for the end of the process on a busy machine. */
+  private static final Duration MAXIMUM_EXIT_TIME = Duration.ofSeconds(1);
 
   /** Less than the time after which removed instances must not receive requests. */
   private static final Duration DEFAULT_REMOVAL_GRACE = Duration.ofMillis(1_500);
@@ -66,7 +76,7 @@
             reader.flag("peers.first_start", false),
             (int) (PERCENT_PER_CORE * reader.fraction("host.processor_share", 0, 1_000, 1)),
             endpoint(reader, "publication.endpoint"),
-            reader.duration("process.stop_time", DEFAULT_STOP_TIMEOUT),
+            stopTime(reader),
             reader.duration("upstreams.removal_grace", DEFAULT_REMOVAL_GRACE),
             reader.duration("engines.lease_gap", DEFAULT_LEASE_GAP),
             reader.fraction("retries.ratio", 0, 10, DEFAULT_RETRY_RATIO),
@@ -88,6 +98,26 @@
     return settings;
   }
 
+  /** Returns the time for a planned stop, which ends before the platform kills the process. */
+  private static Duration stopTime(SettingsReader reader) {
+    Duration grace = duration(reader, "process.grace", MINIMUM_GRACE, MAXIMUM_GRACE, DEFAULT_GRACE);
+    Duration part = grace.dividedBy(EXIT_TIME_DIVISOR);
+    Duration exitTime = part.compareTo(MAXIMUM_EXIT_TIME) < 0 ? part : MAXIMUM_EXIT_TIME;
+    return duration(
+        reader, "process.stop_time", MINIMUM_STOP_TIME, MAXIMUM_GRACE, grace.minus(exitTime));
+  }
+
+  private static Duration duration(
+      SettingsReader reader, String path, Duration minimum, Duration maximum, Duration fallback) {
+    Duration duration = reader.duration(path, fallback);
+    if (duration.compareTo(minimum) < 0 || duration.compareTo(maximum) > 0) {
+      reader.reject(
+          path, "must be between " + minimum.toMillis() + " ms and " + maximum.toMillis() + " ms");
+      return fallback;
+    }
+    return duration;
+  }
+
   private static Endpoint endpoint(SettingsReader reader, String path) {
     return reader.value(path, Endpoint::parse, MISSING_ENDPOINT);
   }
--- a/review/harness/org/parsleyhead/review/HostProcess.java
+++ b/review/harness/org/parsleyhead/review/HostProcess.java
@@ -128,6 +128,7 @@
             Map.entry("platform.addr", store),
             Map.entry("bounds.lease_ttl_ms", "3000"),
             Map.entry("bounds.quota_over", "0.25"),
+            Map.entry("bounds.grace_period_s", "8"),
             Map.entry("bounds.quota_slack", "110000"),
             Map.entry("bounds.retry_ratio", "0.2"),
             Map.entry("bounds.retry_slack", "52"),
