--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -207,6 +207,7 @@
   @Override
   public ExitStatus stop() {
     LOG.info("stopping", "active_requests", dispatch.state().activeRequests());
+    final MonotonicTime signalAt = clock.now();
     stopping.set(true);
     fleetEvents.send(new FleetEvent.Leaving());
     final int unanswered =
@@ -215,11 +216,14 @@
                 this::parkUntil,
                 plan -> dispatchEvents.send(new DispatchEvent.Stopping(plan)),
                 callers::closeIdle,
-                () -> dispatch.state().activeRequests())
+                callers::closePort,
+                callers::unansweredRequests)
             .run(settings.stopTimeout());
     dispatch.close();
     fleet.close();
     publication.close();
+    UnansweredReport.of(dispatch.state().activeSummaries(), signalAt, clock.now())
+        .forEach(event -> LOG.warning("unanswered", event));
     LOG.info("stopped", "unanswered", unanswered);
     return unanswered == 0 ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
   }
