A request that no server has received is refused when a stop refuses everything

A request that was taken before SIGTERM and waited for a load, an owner or a retry, with a deadline beyond the grace, got no answer when the process ended, although the host knew that it had not run; it could even be sent with the last milliseconds. Such requests are refused as STOPPING, not run, together with all new ones.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -77,14 +77,36 @@
     return step;
   }
 
-  /** Applies a plan to stop; a host that stops waits no longer for its catalogue. */
-  Step<DispatchState, DispatchEffect> stop(DispatchState state, StopPlan plan) {
+  /**
+   * Applies a plan to stop; a host that stops waits no longer for its catalogue. Once it refuses
+   * everything, the requests that no instance has received are refused too.
+   */
+  Step<DispatchState, DispatchEffect> stop(DispatchState state, StopPlan plan, MonotonicTime time) {
     StopPlan next = state.stop().followedBy(plan);
     Step<DispatchState, DispatchEffect> step =
         Step.of(state.withStop(next).withStartup(state.startup().emptied()));
     for (ReceivedRequest received : state.startup().requests()) {
       step = step.andThen(stopped -> refuseStopping(stopped, received.request()));
     }
+    return next.stage() == StopStage.REJECT_ALL
+        ? step.andThen(stopped -> refuseUnsent(stopped, time))
+        : step;
+  }
+
+  private static Step<DispatchState, DispatchEffect> refuseUnsent(
+      DispatchState state, MonotonicTime time) {
+    Step<DispatchState, DispatchEffect> step = Step.of(state);
+    for (ActiveRequest active : state.requests().values()) {
+      boolean unsent =
+          active.progress().phase() != Phase.SENT && active.progress().possibleRuns() == 0;
+      if (unsent) {
+        step =
+            step.andThen(
+                next ->
+                    RequestCompletion.fail(
+                        next, active, DispatchRefusal.Code.STOPPING, STOPPING_DELAY, time));
+      }
+    }
     return step;
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -102,7 +102,7 @@
       return quarantine.lifted(state, lifted.trait(), time);
     }
     if (event instanceof DispatchEvent.Stopping stopping) {
-      return admission.stop(state, stopping.plan());
+      return admission.stop(state, stopping.plan(), time);
     }
     if (event instanceof DispatchEvent.Tick) {
       return quarantine.onTick(removeExpired(state, time), time);
