The soak judges a cut at a planned stop by when its request was sent

A caller that saw its connection close a moment after the process had been seen to be gone was excused, since the time until the next start counts as an interruption of the host: the check could miss the cuts that it is there to find. Found by the reviewer: CutAtExitTests printed "[] ==> expected: <1> but was: <0>". The time after a stop excuses only requests that were sent then.

--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/CutAnswerChecks.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/CutAnswerChecks.java
@@ -58,7 +58,8 @@
     boolean unanswered = outcome.end() == End.CLOSED || outcome.end() == End.GIVEN_UP;
     boolean interrupted =
         host.interruptions().stream()
-            .anyMatch(period -> period.overlaps(outcome.sentAt(), outcome.endedAt()));
+            .filter(period -> period.overlaps(outcome.sentAt(), outcome.endedAt()))
+            .anyMatch(period -> !followsStop(period, outcome, host));
     if (!unanswered || interrupted) {
       return Optional.empty();
     }
@@ -75,6 +76,14 @@
         .orElseGet(() -> Optional.of("cut by a host that was not stopped"));
   }
 
+  /** Returns whether a process that was to answer had ended by a planned stop by then. */
+  private static boolean followsStop(HostHistory.Period period, Outcome outcome, HostHistory host) {
+    return host.stops().stream()
+        .anyMatch(
+            stop ->
+                period.from() - stop.exitedAt() >= 0 && outcome.sentAt() - stop.exitedAt() <= 0);
+  }
+
   private Optional<String> violationOfStop(
       Outcome outcome, HostHistory host, HostHistory.Stop stop) {
     boolean passedToServer =
