Drawn answers: a run that was left for its silence, known red

endOnlyByServersThatEndedEachRun is the strict form: an answer that has begun ends by its servers only if they ended each of its runs themselves. The decision is the duty's; the test is tagged known-red until the silent run is handed over or kept.

--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchingHost.java
@@ -146,6 +146,12 @@
     return dispatch.state().activeRequests();
   }
 
+  /** Stops the duty, and returns once all its effects are executed. */
+  void stopDuty() throws Exception {
+    dispatch.close();
+    eventLoops.submit(() -> {}).get(20, TimeUnit.SECONDS);
+  }
+
   @Override
   public void close() {
     dispatch.close();
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DrawnAnswersTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DrawnAnswersTests.java
@@ -16,9 +16,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -45,6 +47,8 @@
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
   private static final Pattern POSSIBLE_RUN =
       Pattern.compile(" event=send_ended .* outcome=(BROKEN|WITHDRAWN|FAILED) .* connection=");
+  private static final Pattern LEFT_RUN =
+      Pattern.compile(" event=send_ended .* outcome=WITHDRAWN .* connection=");
   private static final Set<String> LOGGED_ENDS =
       Set.of("finished", "refused", "broken_off", "failure_delivered", "already_answered");
 
@@ -58,12 +62,30 @@
   @MethodSource("seeds")
   @DisplayName("end by their last event, their caller, their deadline or their servers only")
   void endOnlyByTheirOwnEnds(long seed) throws Exception {
+    check(seed, logged -> true);
+  }
+
+  /** A run that the host has left for its silence might have gone on. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  @Tag("known-red")
+  @DisplayName("end by their servers only if no run was left for its silence")
+  void endOnlyByServersThatEndedEachRun(long seed) throws Exception {
+    check(seed, logged -> logged.stream().noneMatch(line -> LEFT_RUN.matcher(line).find()));
+  }
+
+  /**
+   * Checks all answers of a seed.
+   *
+   * @param servers decides by the log of a request that has begun whether its servers may end it
+   */
+  private static void check(long seed, Predicate<List<String>> servers) throws Exception {
     RunRecords records = new RunRecords();
-    List<HesitantServer> servers = new ArrayList<>();
+    List<HesitantServer> hesitantServers = new ArrayList<>();
     for (int index = 0; index < SERVERS; index++) {
-      servers.add(new HesitantServer(SERVERS * seed + index, records));
+      hesitantServers.add(new HesitantServer(SERVERS * seed + index, records));
     }
-    List<Integer> ports = servers.stream().map(HesitantServer::port).toList();
+    List<Integer> ports = hesitantServers.stream().map(HesitantServer::port).toList();
     List<DrawnCaller> callers = draw(seed);
     List<String> violations = new ArrayList<>();
     Map<String, Integer> counts = new HashMap<>();
@@ -71,19 +93,20 @@
         DispatchingHost host = new DispatchingHost(ports, Set.of(LASTING_KEY, CHANGING_KEY))) {
       Map<DrawnCaller, DrawnCaller.Answer> answers = call(host, callers, seed);
       awaitNoActiveRequest(host);
+      host.stopDuty();
       answers.forEach(
           (caller, answer) -> {
             List<RunRecords.Run> runs = records.of(caller.identifier());
             List<String> ends = host.ends(caller.identifier());
             List<String> logged = lines.of(caller.identifier());
             counts.merge(answer.end() + " " + answer.status(), 1, Integer::sum);
-            violation(caller, answer, runs, ends, logged)
+            violation(caller, answer, runs, ends, logged, servers)
                 .ifPresent(
                     found -> violations.add(describe(found, caller, answer, runs, ends, logged)));
           });
       assertEquals(List.of(), host.ends(""));
     } finally {
-      for (HesitantServer server : servers) {
+      for (HesitantServer server : hesitantServers) {
         server.close();
       }
     }
@@ -174,7 +197,8 @@
       DrawnCaller.Answer answer,
       List<RunRecords.Run> runs,
       List<String> ends,
-      List<String> logged) {
+      List<String> logged,
+      Predicate<List<String>> servers) {
     boolean left = answer.end() == DrawnCaller.End.LEFT;
     List<String> loggedEnds =
         logged.stream()
@@ -206,7 +230,7 @@
       case CUT ->
           answer.status() != 200
               ? Optional.of("its connection was closed without an answer")
-              : cutViolation(caller, answer, late || endedByServers);
+              : cutViolation(caller, answer, late || endedByServers && servers.test(logged));
       case LEFT -> prefixViolation(caller, answer);
     };
   }
