A withdrawn request waits for a server while its caller has time

A request that was withdrawn from a silent server in favour of another one was refused 502 at once if that other server went away in the milliseconds between, although its deadline had seconds left, a run was left, and a retry was charged for it.

Weighed: a caller may repeat such a request only if its route is repeatable, and pays a whole new request then; the host knows at once when a server comes. So the request looks again each 60 ms, as one that has not run does, for as long as the WaitPolicy allows of its whole time; with the rest its caller can still repeat it. The silent server may be chosen again, since it may have recovered and is better than none. Only requests whose retry is in reserve wait so: one that was answered by an error gets that answer at once as before.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -210,7 +210,23 @@
     }
     return untilAccepted(state, active, time)
         .map(delay -> awaitAcceptance(state, active, delay, time))
-        .orElseGet(() -> refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time));
+        .orElseGet(() -> awaitOther(state, active, time));
+  }
+
+  /** Lets a withdrawn request wait for any server while its caller still has time to repeat it. */
+  private Step<DispatchState, DispatchEffect> awaitOther(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    Duration waited = time.since(active.receivedAt()).plus(INSTANCE_RETRY_DELAY);
+    boolean waits =
+        active.progress().history().retryReserved()
+            && !active.progress().responseStarted()
+            && settings.waitPolicy().waits(waited, active.deadline().since(active.receivedAt()));
+    return waits
+        ? RequestWakes.schedule(
+            state,
+            active.with(active.progress().withoutExclusions().waiting()),
+            INSTANCE_RETRY_DELAY)
+        : refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time);
   }
 
   /** Returns when the first instance accepts requests again; empty if none says so. */
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -8,6 +8,7 @@
 import static org.parsleyhead.core.dispatch.DispatchFixture.only;
 import static org.parsleyhead.core.dispatch.DispatchFixture.work;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.parsleyhead.core.api.MonotonicTime;
 
 @DisplayName("An attempt at a silent server")
 class SilentAttemptTests {
@@ -77,6 +79,56 @@
     only(host.apply(silent(one)), DispatchEffect.WithdrawAttempt.class);
   }
 
+  /** Guards against a 502 at once although the caller had time left. */
+  @Nested
+  @DisplayName("that is withdrawn while the other server goes away")
+  class WithoutOtherServer {
+
+    private List<DispatchEffect> withdrawn;
+
+    @BeforeEach
+    void withdraw() {
+      String silent = first.instance().identifier();
+      String other = silent.equals("e1") ? "e2" : "e1";
+      host.announce(DispatchFixture.instance(other, "engine", true, 2, Map.of(ADAPTER, 1L)));
+      withdrawn = host.end(first, AttemptOutcome.WITHDRAWN, false);
+    }
+
+    @Test
+    @DisplayName("waits, and is sent to the next server that comes")
+    void waits() {
+      host.announce(DispatchFixture.engine("e3"));
+      assertEquals(
+          "e3", only(host.wake(withdrawn), DispatchEffect.Send.class).instance().identifier());
+    }
+
+    @Test
+    @DisplayName("is sent to the silent one again, which may have recovered, if no other one comes")
+    void isSentToSilentOne() {
+      DispatchEffect.Send second = only(host.wake(withdrawn), DispatchEffect.Send.class);
+      assertEquals(first.instance().identifier(), second.instance().identifier());
+      assertEquals(2, second.attempt());
+    }
+
+    @Test
+    @DisplayName("is refused while its caller has time to repeat it, if all servers are gone")
+    void isRefused() {
+      MonotonicTime withdrawnAt = host.now();
+      host.apply(new DispatchEvent.InstanceRemoved(first.instance().identifier()));
+      host.advance(Duration.ofMillis(1_600));
+      List<DispatchEffect> effects = withdrawn;
+      while (host.state().activeRequests() > 0) {
+        effects = host.wake(effects);
+      }
+      assertEquals(
+          DispatchRefusal.Code.UPSTREAM_FAILED,
+          only(effects, DispatchEffect.Refuse.class).refusal().code());
+      Duration waited = host.now().since(withdrawnAt);
+      assertTrue(waited.compareTo(Duration.ofSeconds(2)) > 0, waited::toString);
+      assertTrue(waited.compareTo(Duration.ofSeconds(3)) < 0, waited::toString);
+    }
+  }
+
   private boolean retryIsLeft() {
     return host.state().budgets().get("engine").allows();
   }
