--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -51,15 +51,15 @@
 
   /** Returns this progress while it waits for a load that was ordered for another request. */
   Progress loading(String target) {
-    return loading(target, loads.withWait());
+    return awaitingLoad(target, loads.withWait());
   }
 
   /** Returns this progress while it waits for a load that it asks for now. */
   Progress requestingLoad(String target, MonotonicTime time) {
-    return loading(target, loads.withRequest(time));
+    return awaitingLoad(target, loads.withRequest(time));
   }
 
-  private Progress loading(String target, LoadRequests next) {
+  private Progress awaitingLoad(String target, LoadRequests next) {
     return new Progress(Assignment.loading(target), history, responseStarted, next, wakeNumber + 1);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -30,7 +30,7 @@
       DispatchRefusal.Code code,
       Duration retryAfter,
       MonotonicTime time) {
-    return fail(state, active, code, retryAfter, inputs(active, time), time);
+    return awaitOrEnd(state, active, code, retryAfter, inputs(active, time), time);
   }
 
   /**
@@ -39,7 +39,7 @@
    */
   static Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, Verdict verdict, MonotonicTime time) {
-    return fail(
+    return awaitOrEnd(
         state,
         active,
         DispatchRefusal.Code.QUARANTINED,
@@ -48,7 +48,7 @@
         time);
   }
 
-  private static Step<DispatchState, DispatchEffect> fail(
+  private static Step<DispatchState, DispatchEffect> awaitOrEnd(
       DispatchState state,
       ActiveRequest active,
       DispatchRefusal.Code code,
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/SilentAttemptTests.java
@@ -113,7 +113,7 @@
     @Test
     @DisplayName("is refused while its caller has time to repeat it, if all servers are gone")
     void isRefused() {
-      MonotonicTime withdrawnAt = host.now();
+      final MonotonicTime withdrawnAt = host.now();
       host.apply(new DispatchEvent.InstanceRemoved(first.instance().identifier()));
       host.advance(Duration.ofMillis(1_600));
       List<DispatchEffect> effects = withdrawn;
