A request that waits is looked at again by its deadline

The delays of loads, of unanswered load requests and of retries were not bounded by the deadline, so that a request could end later than the host had promised, also to its own planned stop. Each wake is scheduled for the deadline at the latest.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -74,14 +74,15 @@
           : RequestWakes.schedule(
               state,
               active.with(active.progress().withoutLoadRequests().waiting()),
-              SLOT_RETRY_DELAY);
+              SLOT_RETRY_DELAY,
+              time);
     }
     ActiveRequest loading = active.with(active.progress().requestingLoad(view.identifier(), time));
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
                 view.identifier(), adapter(active), active.request().identifier()))
-        .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT));
+        .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT, time));
   }
 
   /**
@@ -106,7 +107,7 @@
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     Duration delay = view.adapters().readyAt().get(adapter(active)).since(time);
     return RequestWakes.schedule(
-        state, active.with(active.progress().loading(view.identifier())), delay);
+        state, active.with(active.progress().loading(view.identifier())), delay, time);
   }
 
   /**
@@ -126,7 +127,10 @@
             : settings.waitPolicy().waits(expected, active.deadline().since(time));
     return waits
         ? RequestWakes.schedule(
-            state, active.with(active.progress().waitingForOwner(time.plus(wakeDelay))), wakeDelay)
+            state,
+            active.with(active.progress().waitingForOwner(time.plus(wakeDelay))),
+            wakeDelay,
+            time)
         : refuse(state, active, wakeDelay, time);
   }
 
@@ -164,7 +168,10 @@
           step.andThen(
               next ->
                   RequestWakes.schedule(
-                      next, active.with(active.progress().withNextWake()), ordered.readyIn()));
+                      next,
+                      active.with(active.progress().withNextWake()),
+                      ordered.readyIn(),
+                      time));
     }
     return step;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/FailureIsolation.java
@@ -107,7 +107,8 @@
             RequestWakes.schedule(
                 state,
                 active.with(active.progress().withNextWake()),
-                RequestTimeouts.nextSilenceCheckDelay(active, time)))
+                RequestTimeouts.nextSilenceCheckDelay(active, time),
+                time))
         : Optional.empty();
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -193,20 +193,20 @@
         .andThen(
             before ->
                 RequestWakes.schedule(
-                    before, sent, RequestTimeouts.firstSilenceCheckDelay(sent, time)));
+                    before, sent, RequestTimeouts.firstSilenceCheckDelay(sent, time), time));
   }
 
   private Step<DispatchState, DispatchEffect> awaitInstance(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     if (!active.progress().excludedInstances().isEmpty() && active.progress().possibleRuns() == 0) {
       ActiveRequest retried = active.with(active.progress().withoutExclusions().waiting());
-      return RequestWakes.schedule(state, retried, INSTANCE_RETRY_DELAY);
+      return RequestWakes.schedule(state, retried, INSTANCE_RETRY_DELAY, time);
     }
     boolean starting =
         state.startup().open(time) && state.instances().ofService(active.service()).isEmpty();
     if (starting) {
       return RequestWakes.schedule(
-          state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY);
+          state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY, time);
     }
     return untilAccepted(state, active, time)
         .map(delay -> awaitAcceptance(state, active, delay, time))
@@ -225,7 +225,8 @@
         ? RequestWakes.schedule(
             state,
             active.with(active.progress().withoutExclusions().waiting()),
-            INSTANCE_RETRY_DELAY)
+            INSTANCE_RETRY_DELAY,
+            time)
         : refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time);
   }
 
@@ -241,7 +242,7 @@
   private Step<DispatchState, DispatchEffect> awaitAcceptance(
       DispatchState state, ActiveRequest active, Duration delay, MonotonicTime time) {
     if (settings.waitPolicy().waits(delay, active.deadline().since(time))) {
-      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay);
+      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay, time);
     }
     Duration retryAfter = settings.retryAfter().retryAfter(delay, active.request().hash());
     return RequestCompletion.fail(state, active, DispatchRefusal.Code.NO_ROOM, retryAfter, time);
@@ -255,7 +256,10 @@
     boolean silent = !active.progress().assignment().answering();
     if (!silent || !active.mayRunAgain()) {
       return RequestWakes.schedule(
-          state, active.with(active.progress().withNextWake()), active.deadline().since(time));
+          state,
+          active.with(active.progress().withNextWake()),
+          active.deadline().since(time),
+          time);
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
     ActiveRequest waking = active.with(active.progress().withNextWake());
@@ -267,7 +271,8 @@
                 RequestWakes.schedule(
                     before,
                     before.requests().get(active.key()),
-                    RequestTimeouts.nextSilenceCheckDelay(active, time)));
+                    RequestTimeouts.nextSilenceCheckDelay(active, time),
+                    time));
   }
 
   /** Leaves a server whose stream has become silent if another one can accept it at once. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -49,7 +49,7 @@
     Duration retryDelay = retryDelay(progress.attempts());
     Duration delay = retryDelay.compareTo(timeLeft) < 0 ? retryDelay : timeLeft;
     Step<DispatchState, DispatchEffect> waiting =
-        RequestWakes.schedule(state, active.with(next.waiting()), delay);
+        RequestWakes.schedule(state, active.with(next.waiting()), delay, time);
     return Optional.of(
         progress.phase() == Phase.WAITING
             ? waiting
