A stream that was left for its silence is resumed at that server if no other run is left

Callers saw their connection closed in the middle of a 200 with seconds left, the form of the users' record: a sound server falls silent for more than 1.2 s, its run is withdrawn for another server, that one breaks off, and the route's runs are used up, although the first server never ended. Leaving is this host's decision; it was counted like the end of a server.

The history of a request remembers the servers that were left and have not ended their response. A response that has started and has no other run left is resumed at one of them, or waits for it until its deadline. The number of servers that run it stays within the attempts of the route, and the retry budget holds.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -74,7 +74,12 @@
   ActiveRequest withAttemptEnded(AttemptResult result) {
     String instance = progress.instance().orElseThrow();
     AttemptHistory history = progress.history();
-    AttemptHistory counted = result.outcome().notRun() ? history.withoutRun() : history;
+    AttemptHistory counted =
+        switch (result.outcome()) {
+          case WITHDRAWN -> history.withLeft(instance);
+          case FAILED, BROKEN, COMPLETED -> history.withEnded(instance);
+          case NOT_SENT, MISDIRECTED, NO_ROOM -> history.withoutRun();
+        };
     Progress ended =
         progress.withAttemptEnded(
             result.outcome() == AttemptOutcome.MISDIRECTED
@@ -89,9 +94,27 @@
     return route.kind().repeatable() && progress.possibleRuns() < route.attempts();
   }
 
+  /**
+   * Returns whether a response that has started, and may not run at another instance, may be
+   * resumed at one that was left for its silence.
+   */
+  boolean mayReturn() {
+    return progress.responseStarted()
+        && route.kind().repeatable()
+        && progress.possibleRuns() >= route.attempts()
+        && !progress.history().left().isEmpty();
+  }
+
+  /** Returns whether the request may be sent to an instance, as far as earlier attempts tell. */
+  boolean maySendTo(String instance) {
+    return mayReturn()
+        ? progress.history().left().contains(instance)
+        : !progress.excludedInstances().contains(instance);
+  }
+
   /** Returns whether one more attempt is allowed, whatever the retry budget. */
   boolean mayBeSentAgain() {
-    boolean runAllowed = progress.possibleRuns() == 0 || mayRunAgain();
+    boolean runAllowed = progress.possibleRuns() == 0 || mayRunAgain() || mayReturn();
     return runAllowed && (progress.responseStarted() || progress.attempts() < MAXIMUM_ATTEMPTS);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -121,7 +121,7 @@
               .orElseGet(() -> dispatcher.dispatch(state, active, time));
       case WITHDRAWN -> dispatcher.dispatch(state, active, time);
       case FAILED, BROKEN -> {
-        if (active.mayRunAgain()) {
+        if (active.mayRunAgain() || active.mayReturn()) {
           Step<DispatchState, DispatchEffect> retry = dispatcher.dispatch(state, active, time);
           yield result.responseBuffered() && hasRefusal(retry)
               ? deliver(state, active, result, time)
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -45,8 +45,7 @@
     if (active.expired(time)) {
       return expire(state, active, time);
     }
-    boolean retry = active.progress().attempts() > 0;
-    if (retry && !retries.allows(state, active, time)) {
+    if (active.progress().attempts() > 0 && !retries.allows(state, active, time)) {
       return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
     }
     Verdict verdict = verdict(state, active, time);
@@ -128,11 +127,9 @@
     List<InstanceView> usable = new ArrayList<>();
     List<InstanceView> recentlyRemoved = new ArrayList<>();
     for (InstanceView view : all) {
-      if (active.progress().excludedInstances().contains(view.identifier())
-          || !holdsModel(active, view)) {
-        continue;
-      }
-      if (view.health().refuses(time)) {
+      if (!active.maySendTo(view.identifier())
+          || !holdsModel(active, view)
+          || view.health().refuses(time)) {
         continue;
       }
       if (view.acceptsRequests()) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AnswerEndTests.java
@@ -227,6 +227,31 @@
       assertFinishes(send);
     }
 
+    @Test
+    @DisplayName("returns to the server that was left if the last other one ends")
+    void returnsToServerThatWasLeft() {
+      DispatchEffect.Send first = begun("/chat/x");
+      only(host.apply(silent(first)), DispatchEffect.WithdrawAttempt.class);
+      DispatchEffect.Send second =
+          only(host.end(first, AttemptOutcome.WITHDRAWN, true), DispatchEffect.Send.class);
+      DispatchEffect.Send third = wakeUntilSent(breakOff(second));
+      assertEquals(first.instance().identifier(), third.instance().identifier());
+      only(breakOff(third), DispatchEffect.Abort.class);
+      assertEquals(0, host.state().activeRequests());
+    }
+
+    @Test
+    @DisplayName("waits for the server that was left until its deadline")
+    void waitsForServerThatWasLeft() {
+      DispatchEffect.Send first = begun("/chat/x");
+      only(host.apply(silent(first)), DispatchEffect.WithdrawAttempt.class);
+      DispatchEffect.Send second =
+          only(host.end(first, AttemptOutcome.WITHDRAWN, true), DispatchEffect.Send.class);
+      host.apply(new DispatchEvent.InstanceRemoved(first.instance().identifier()));
+      host.advance(Duration.ofSeconds(2));
+      assertEndsAtDeadline(breakOff(second), host::apply);
+    }
+
     @Test
     @DisplayName("waits if it was withdrawn and no server can take it any more")
     void waitsAfterWithdrawal() {
