A stream that waits for an unanswered load looks at all servers between two requests

A stream that had begun and had lost its server asked the owner of one server for a load every 300 ms until its deadline, although servers that hold the adapter were there: the change that spaces its load requests let a new request follow the last one of a row at once, so that the wait in which the excluded servers come back was never reached. A new request now follows such a wait only.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -86,8 +86,8 @@
   }
 
   /**
-   * Returns whether a request may ask for a load now. A stream that has started and waits for a
-   * server asks again once its last request can no longer be answered, however often it looks.
+   * Returns whether a request may ask for a load now. A stream that has started asks again after it
+   * has waited for any server, and once its last request can no longer be answered.
    */
   private static boolean mayRequest(ActiveRequest active, MonotonicTime time) {
     LoadRequests loads = active.progress().loads();
@@ -99,7 +99,8 @@
             .lastAt()
             .map(lastAt -> time.since(lastAt).compareTo(LOAD_RESPONSE_TIMEOUT) >= 0)
             .orElse(true);
-    return active.progress().responseStarted() && timedOut;
+    boolean waited = active.progress().phase() == Phase.WAITING;
+    return active.progress().responseStarted() && waited && timedOut;
   }
 
   /** Waits for a load that was ordered. */
