--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/CutAtExitTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/CutAtExitTests.java
@@ -46,8 +46,7 @@
             List.of(new HostHistory.Stop(TimeUnit.SECONDS.toNanos(10), EXIT)),
             List.of(new HostHistory.Period(EXIT, EXIT + TimeUnit.SECONDS.toNanos(3))),
             Set.of());
-    RunLedger.Run run =
-        new RunLedger.Run("r1", "i-0", Optional.of("account-0"), false, sentAt + 1);
+    RunLedger.Run run = new RunLedger.Run("r1", "i-0", Optional.of("account-0"), false, sentAt + 1);
     List<String> violations =
         new CutAnswerChecks(List.of(run), List.of(history), new ServerEnds())
             .findViolations(List.of(outcome));
