--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -68,20 +68,39 @@
     if (!settings.waitPolicy().waits(settings.coldLoad(), active.deadline().since(time))) {
       return refuse(state, active, EXPECTED_SLOT_DELAY, time);
     }
-    if (active.progress().loadRequests() >= MAXIMUM_LOAD_REQUESTS) {
-      return loadTimeElapsed(active, time)
+    if (!mayRequest(active, time)) {
+      return active.progress().responseStarted() || loadTimeElapsed(active, time)
           ? refuse(state, active, EXPECTED_SLOT_DELAY, time)
           : RequestWakes.schedule(
               state,
               active.with(active.progress().withoutLoadRequests().waiting()),
-              SLOT_RETRY_DELAY);
+              SLOT_RETRY_DELAY,
+              time);
     }
-    ActiveRequest loading = active.with(active.progress().loading(view.identifier()));
+    ActiveRequest loading = active.with(active.progress().requestingLoad(view.identifier(), time));
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
                 view.identifier(), adapter(active), active.request().identifier()))
-        .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT));
+        .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT, time));
+  }
+
+  /**
+   * Returns whether a request may ask for a load now. A stream that has started asks again after it
+   * has waited for any server, and once its last request can no longer be answered.
+   */
+  private static boolean mayRequest(ActiveRequest active, MonotonicTime time) {
+    LoadRequests loads = active.progress().loads();
+    if (loads.count() < MAXIMUM_LOAD_REQUESTS) {
+      return true;
+    }
+    boolean timedOut =
+        loads
+            .lastAt()
+            .map(lastAt -> time.since(lastAt).compareTo(LOAD_RESPONSE_TIMEOUT) >= 0)
+            .orElse(true);
+    boolean waited = active.progress().phase() == Phase.WAITING;
+    return active.progress().responseStarted() && waited && timedOut;
   }
 
   /** Waits for a load that was ordered. */
@@ -89,7 +108,7 @@
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
     Duration delay = view.adapters().readyAt().get(adapter(active)).since(time);
     return RequestWakes.schedule(
-        state, active.with(active.progress().loading(view.identifier())), delay);
+        state, active.with(active.progress().loading(view.identifier())), delay, time);
   }
 
   /**
@@ -109,7 +128,10 @@
             : settings.waitPolicy().waits(expected, active.deadline().since(time));
     return waits
         ? RequestWakes.schedule(
-            state, active.with(active.progress().waitingForOwner(time.plus(wakeDelay))), wakeDelay)
+            state,
+            active.with(active.progress().waitingForOwner(time.plus(wakeDelay))),
+            wakeDelay,
+            time)
         : refuse(state, active, wakeDelay, time);
   }
 
@@ -121,6 +143,7 @@
     MonotonicTime possibleFrom =
         active
             .progress()
+            .loads()
             .ownerExpectedAt()
             .map(expectedAt -> expectedAt.plus(OWNER_START_DELAY))
             .orElse(active.receivedAt());
@@ -146,7 +169,10 @@
           step.andThen(
               next ->
                   RequestWakes.schedule(
-                      next, active.with(active.progress().withNextWake()), ordered.readyIn()));
+                      next,
+                      active.with(active.progress().withNextWake()),
+                      ordered.readyIn(),
+                      time));
     }
     return step;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -58,7 +58,7 @@
       return attemptEvents.onStreamSilent(state, silent, time);
     }
     if (event instanceof DispatchEvent.AttemptKept kept) {
-      return Step.of(attemptEvents.onAttemptKept(state, kept, time));
+      return Step.of(attemptEvents.onAttemptKept(state, kept));
     }
     if (event instanceof DispatchEvent.AttemptEnded ended) {
       return attemptEvents.onAttemptEnded(state, ended, time);
@@ -102,7 +102,7 @@
       return quarantine.lifted(state, lifted.trait(), time);
     }
     if (event instanceof DispatchEvent.Stopping stopping) {
-      return admission.stop(state, stopping.plan());
+      return admission.stop(state, stopping.plan(), time);
     }
     if (event instanceof DispatchEvent.Tick) {
       return quarantine.onTick(removeExpired(state, time), time);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -45,8 +45,7 @@
     if (active.expired(time)) {
       return expire(state, active, time);
     }
-    boolean retry = active.progress().attempts() > 0;
-    if (retry && !retries.allows(state, active, time)) {
+    if (active.progress().attempts() > 0 && !retries.allows(state, active, time)) {
       return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
     }
     Verdict verdict = verdict(state, active, time);
@@ -114,11 +113,6 @@
     return loads;
   }
 
-  /** Returns the accounting of retries. */
-  RequestRetries retries() {
-    return retries;
-  }
-
   /** Fails a request that cannot be retried now, with a Retry-After if it has not run. */
   Step<DispatchState, DispatchEffect> refuse(
       DispatchState state, ActiveRequest active, DispatchRefusal.Code code, MonotonicTime time) {
@@ -133,11 +127,9 @@
     List<InstanceView> usable = new ArrayList<>();
     List<InstanceView> recentlyRemoved = new ArrayList<>();
     for (InstanceView view : all) {
-      if (active.progress().excludedInstances().contains(view.identifier())
-          || !holdsModel(active, view)) {
-        continue;
-      }
-      if (view.health().refuses(time)) {
+      if (!active.maySendTo(view.identifier())
+          || !holdsModel(active, view)
+          || view.health().refuses(time)) {
         continue;
       }
       if (view.acceptsRequests()) {
@@ -198,24 +190,41 @@
         .andThen(
             before ->
                 RequestWakes.schedule(
-                    before, sent, RequestTimeouts.firstSilenceCheckDelay(sent, time)));
+                    before, sent, RequestTimeouts.firstSilenceCheckDelay(sent, time), time));
   }
 
   private Step<DispatchState, DispatchEffect> awaitInstance(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     if (!active.progress().excludedInstances().isEmpty() && active.progress().possibleRuns() == 0) {
       ActiveRequest retried = active.with(active.progress().withoutExclusions().waiting());
-      return RequestWakes.schedule(state, retried, INSTANCE_RETRY_DELAY);
+      return RequestWakes.schedule(state, retried, INSTANCE_RETRY_DELAY, time);
     }
     boolean starting =
         state.startup().open(time) && state.instances().ofService(active.service()).isEmpty();
     if (starting) {
       return RequestWakes.schedule(
-          state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY);
+          state, active.with(active.progress().waiting()), INSTANCE_RETRY_DELAY, time);
     }
     return untilAccepted(state, active, time)
         .map(delay -> awaitAcceptance(state, active, delay, time))
-        .orElseGet(() -> refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time));
+        .orElseGet(() -> awaitOther(state, active, time));
+  }
+
+  /** Lets a withdrawn request wait for any server while its caller still has time to repeat it. */
+  private Step<DispatchState, DispatchEffect> awaitOther(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    Duration waited = time.since(active.receivedAt()).plus(INSTANCE_RETRY_DELAY);
+    boolean waits =
+        active.progress().history().retryReserved()
+            && !active.progress().responseStarted()
+            && settings.waitPolicy().waits(waited, active.deadline().since(active.receivedAt()));
+    return waits
+        ? RequestWakes.schedule(
+            state,
+            active.with(active.progress().withoutExclusions().waiting()),
+            INSTANCE_RETRY_DELAY,
+            time)
+        : refuse(state, active, DispatchRefusal.Code.NO_INSTANCE, time);
   }
 
   /** Returns when the first instance accepts requests again; empty if none says so. */
@@ -230,7 +239,7 @@
   private Step<DispatchState, DispatchEffect> awaitAcceptance(
       DispatchState state, ActiveRequest active, Duration delay, MonotonicTime time) {
     if (settings.waitPolicy().waits(delay, active.deadline().since(time))) {
-      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay);
+      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay, time);
     }
     Duration retryAfter = settings.retryAfter().retryAfter(delay, active.request().hash());
     return RequestCompletion.fail(state, active, DispatchRefusal.Code.NO_ROOM, retryAfter, time);
@@ -244,7 +253,10 @@
     boolean silent = !active.progress().assignment().answering();
     if (!silent || !active.mayRunAgain()) {
       return RequestWakes.schedule(
-          state, active.with(active.progress().withNextWake()), active.deadline().since(time));
+          state,
+          active.with(active.progress().withNextWake()),
+          active.deadline().since(time),
+          time);
     }
     DispatchState penalized = withSilentAttempt(state, active, time);
     ActiveRequest waking = active.with(active.progress().withNextWake());
@@ -256,7 +268,8 @@
                 RequestWakes.schedule(
                     before,
                     before.requests().get(active.key()),
-                    RequestTimeouts.nextSilenceCheckDelay(active, time)));
+                    RequestTimeouts.nextSilenceCheckDelay(active, time),
+                    time));
   }
 
   /** Leaves a server whose stream has become silent if another one can accept it at once. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/StreamResumption.java
@@ -42,14 +42,14 @@
     if (!resumable(active, time)) {
       return Optional.empty();
     }
-    Progress progress = active.progress().withoutLoadRequests();
+    Progress progress = active.progress();
     // Without any other instance, one that failed before is better than none.
     Progress next = withoutInstance(code) ? progress.withoutExclusions() : progress;
     Duration timeLeft = active.deadline().since(time);
     Duration retryDelay = retryDelay(progress.attempts());
     Duration delay = retryDelay.compareTo(timeLeft) < 0 ? retryDelay : timeLeft;
     Step<DispatchState, DispatchEffect> waiting =
-        RequestWakes.schedule(state, active.with(next.waiting()), delay);
+        RequestWakes.schedule(state, active.with(next.waiting()), delay, time);
     return Optional.of(
         progress.phase() == Phase.WAITING
             ? waiting
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DrawnAnswersTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DrawnAnswersTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.DisplayName;
@@ -45,6 +48,11 @@
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
   private static final Pattern POSSIBLE_RUN =
       Pattern.compile(" event=send_ended .* outcome=(BROKEN|WITHDRAWN|FAILED) .* connection=");
+  private static final Pattern LEFT_RUN =
+      Pattern.compile(" event=send_ended .* outcome=WITHDRAWN .* connection=");
+  private static final Pattern ENDED_RUN =
+      Pattern.compile(" event=send_ended .* outcome=(BROKEN|FAILED) .* connection=");
+  private static final Pattern INSTANCE = Pattern.compile(" instance=(\\S+)");
   private static final Set<String> LOGGED_ENDS =
       Set.of("finished", "refused", "broken_off", "failure_delivered", "already_answered");
 
@@ -58,12 +66,47 @@
   @MethodSource("seeds")
   @DisplayName("end by their last event, their caller, their deadline or their servers only")
   void endOnlyByTheirOwnEnds(long seed) throws Exception {
+    check(seed, logged -> true);
+  }
+
+  /** A run that the host has left for its silence might have gone on. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  @DisplayName("end by their servers only if these ended each run")
+  void endOnlyByServersThatEndedEachRun(long seed) throws Exception {
+    check(seed, DrawnAnswersTests::serversEndedEachRun);
+  }
+
+  /** Returns whether each server that was left for its silence has ended a later run itself. */
+  private static boolean serversEndedEachRun(List<String> logged) {
+    Set<String> left = new HashSet<>();
+    for (String line : logged) {
+      if (LEFT_RUN.matcher(line).find()) {
+        left.add(instance(line));
+      } else if (ENDED_RUN.matcher(line).find()) {
+        left.remove(instance(line));
+      }
+    }
+    return left.isEmpty();
+  }
+
+  private static String instance(String line) {
+    Matcher matcher = INSTANCE.matcher(line);
+    return matcher.find() ? matcher.group(1) : "";
+  }
+
+  /**
+   * Checks all answers of a seed.
+   *
+   * @param servers decides by the log of a request that has begun whether its servers may end it
+   */
+  private static void check(long seed, Predicate<List<String>> servers) throws Exception {
     RunRecords records = new RunRecords();
-    List<HesitantServer> servers = new ArrayList<>();
+    List<HesitantServer> hesitantServers = new ArrayList<>();
     for (int index = 0; index < SERVERS; index++) {
-      servers.add(new HesitantServer(SERVERS * seed + index, records));
+      hesitantServers.add(new HesitantServer(SERVERS * seed + index, records));
     }
-    List<Integer> ports = servers.stream().map(HesitantServer::port).toList();
+    List<Integer> ports = hesitantServers.stream().map(HesitantServer::port).toList();
     List<DrawnCaller> callers = draw(seed);
     List<String> violations = new ArrayList<>();
     Map<String, Integer> counts = new HashMap<>();
@@ -71,19 +114,20 @@
         DispatchingHost host = new DispatchingHost(ports, Set.of(LASTING_KEY, CHANGING_KEY))) {
       Map<DrawnCaller, DrawnCaller.Answer> answers = call(host, callers, seed);
       awaitNoActiveRequest(host);
+      host.stopDuty();
       answers.forEach(
           (caller, answer) -> {
             List<RunRecords.Run> runs = records.of(caller.identifier());
             List<String> ends = host.ends(caller.identifier());
             List<String> logged = lines.of(caller.identifier());
             counts.merge(answer.end() + " " + answer.status(), 1, Integer::sum);
-            violation(caller, answer, runs, ends, logged)
+            violation(caller, answer, runs, ends, logged, servers)
                 .ifPresent(
                     found -> violations.add(describe(found, caller, answer, runs, ends, logged)));
           });
       assertEquals(List.of(), host.ends(""));
     } finally {
-      for (HesitantServer server : servers) {
+      for (HesitantServer server : hesitantServers) {
         server.close();
       }
     }
@@ -174,7 +218,8 @@
       DrawnCaller.Answer answer,
       List<RunRecords.Run> runs,
       List<String> ends,
-      List<String> logged) {
+      List<String> logged,
+      Predicate<List<String>> servers) {
     boolean left = answer.end() == DrawnCaller.End.LEFT;
     List<String> loggedEnds =
         logged.stream()
@@ -206,7 +251,7 @@
       case CUT ->
           answer.status() != 200
               ? Optional.of("its connection was closed without an answer")
-              : cutViolation(caller, answer, late || endedByServers);
+              : cutViolation(caller, answer, late || endedByServers && servers.test(logged));
       case LEFT -> prefixViolation(caller, answer);
     };
   }
