Learned load time of adapters

Cause: of 889 rejections for a missing adapter, 738 came because requests were sent before the load had ended; the expected load time was the configured one plus 20 ms.

Change: LoadTimeEstimate holds the load time that a host has observed, cold and warm loads apart, between 20 ms and 5 s. A rejection during a load raises it at once to the time since the order plus a quarter; a first response lowers it by 0.5 %. The part above twice the configured time halves every 2 s. Owners state in LoadAnswer (new code 116) how long a load has been in progress, so that the estimate counts from the order. A rejection of an adapter that has answered, or long after its order, changes nothing. An adapter that the owner's report has listed and lists no longer counts as unloaded.

Not measured under load.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -24,7 +24,7 @@
 
 /**
  * The message types for gateway hosts, which operate without a published host list, codes 102 to
- * 107. The codes 100 and 101 belonged to former encodings.
+ * 119. The codes 100, 101 and 103 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -49,7 +49,7 @@
               FleetMessageTypes::writeLoadRequest,
               FleetMessageTypes::readLoadRequest),
           new MessageType<>(
-              103,
+              116,
               LoadAnswer.class,
               FleetMessageTypes::writeLoadAnswer,
               FleetMessageTypes::readLoadAnswer),
@@ -180,6 +180,7 @@
     packer
         .packBoolean(message.ordered())
         .packLong(message.readyInMilliseconds())
+        .packLong(message.loadingForMilliseconds())
         .packString(message.reason());
   }
 
@@ -189,6 +190,7 @@
         readAdapter(unpacker),
         unpacker.unpackBoolean(),
         unpacker.unpackLong(),
+        unpacker.unpackLong(),
         unpacker.unpackString());
   }
 
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -58,7 +58,7 @@
             Optional.of(new HeartbeatAnswer(6, "10.0.0.1:9", 2, true, List.of()))),
         new HeartbeatAnswer(1, "10.0.0.1:9", 2, false, List.of("i-1")),
         new LoadRequest("10.0.0.1:9", "i-1", ADAPTER),
-        new LoadAnswer("i-1", ADAPTER, false, 0, "no_slot"),
+        new LoadAnswer("i-1", ADAPTER, false, 251, 19, "no_slot"),
         new PublicationUpdateRequest("10.0.0.1:9", 3),
         new PublicationUpdate(
             List.of(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
@@ -23,7 +23,7 @@
  * @param reportedAt when the owner last reported
  * @param models the base models that the instance holds
  * @param held the versions of the held and expected adapters
- * @param readyAt when the adapters that are being loaded are expected to be ready
+ * @param expected the ordered loads that no response has confirmed
  * @param former when adapters that are no longer held were removed, in nanoseconds; they load
  *     faster than others
  * @param loadsRefusedUntil until when the owner is expected to refuse loads
@@ -33,7 +33,7 @@
     MonotonicTime reportedAt,
     Set<String> models,
     PMap<AdapterKey, Long> held,
-    PMap<AdapterKey, MonotonicTime> readyAt,
+    PMap<AdapterKey, ExpectedLoad> expected,
     PMap<AdapterKey, Long> former,
     MonotonicTime loadsRefusedUntil) {
 
@@ -66,22 +66,22 @@
   AdapterInventory withAnnouncement(Instance instance, MonotonicTime time) {
     return time.since(reportedAt).compareTo(ANNOUNCEMENT_LAG) < 0
         ? this
-        : withContents(orderCount, reportedAt, instance.models(), instance.adapters(), time);
+        : withContents(orderCount, reportedAt, instance.models(), instance.adapters(), false, time);
   }
 
   /** Returns this inventory after a report; outdated reports are ignored. */
   AdapterInventory withReport(AdapterReport report, MonotonicTime time) {
     return report.orderCount() < orderCount
         ? this
-        : withContents(report.orderCount(), time, report.models(), report.adapters(), time);
+        : withContents(report.orderCount(), time, report.models(), report.adapters(), true, time);
   }
 
   /** Returns this inventory without adapters that are older than their declared versions. */
   AdapterInventory withoutOutdated(AdapterVersions versions) {
     AdapterInventory next = this;
     for (Map.Entry<AdapterKey, Long> adapter : held.entrySet()) {
-      boolean expected = readyAt.containsKey(adapter.getKey());
-      if (!expected && !versions.current(adapter.getKey(), adapter.getValue())) {
+      boolean loading = expected.containsKey(adapter.getKey());
+      if (!loading && !versions.current(adapter.getKey(), adapter.getValue())) {
         next = next.without(adapter.getKey());
       }
     }
@@ -104,7 +104,7 @@
         reportedAt,
         models,
         held.minus(adapter),
-        readyAt.minus(adapter),
+        expected.minus(adapter),
         nextFormer,
         loadsRefusedUntil);
   }
@@ -122,41 +122,52 @@
       MonotonicTime reported,
       Set<String> nextModels,
       Map<AdapterKey, Long> adapters,
+      boolean byOwner,
       MonotonicTime time) {
     PMap<AdapterKey, Long> next = HashTreePMap.from(adapters);
-    PMap<AdapterKey, MonotonicTime> nextReadyAt = HashTreePMap.empty();
+    PMap<AdapterKey, ExpectedLoad> nextExpected = HashTreePMap.empty();
     PMap<AdapterKey, Long> nextFormer = former;
     for (Map.Entry<AdapterKey, Long> known : held.entrySet()) {
       AdapterKey adapter = known.getKey();
-      MonotonicTime expectedAt = readyAt.get(adapter);
+      ExpectedLoad load = expected.get(adapter);
+      boolean listed = adapters.containsKey(adapter);
+      boolean unloaded = byOwner && load != null && load.reported() && !listed;
       boolean loading =
-          expectedAt != null && time.since(expectedAt).compareTo(MAXIMUM_LOAD_DELAY) < 0;
+          load != null
+              && !unloaded
+              && time.since(load.toldReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
       if (loading) {
         next = next.plus(adapter, known.getValue());
-        nextReadyAt = nextReadyAt.plus(adapter, expectedAt);
+        nextExpected = nextExpected.plus(adapter, byOwner && listed ? load.asReported() : load);
       } else if (!next.containsKey(adapter)) {
         nextFormer = nextFormer.plus(adapter, time.nanoseconds());
       }
     }
     return new AdapterInventory(
-        orders, reported, nextModels, next, nextReadyAt, bounded(nextFormer), loadsRefusedUntil);
+        orders, reported, nextModels, next, nextExpected, bounded(nextFormer), loadsRefusedUntil);
   }
 
-  AdapterInventory withExpectedLoad(AdapterKey adapter, MonotonicTime instant) {
+  AdapterInventory withExpectedLoad(AdapterKey adapter, ExpectedLoad load) {
     return new AdapterInventory(
         orderCount,
         reportedAt,
         models,
         held.containsKey(adapter) ? held : held.plus(adapter, 0L),
-        readyAt.plus(adapter, instant),
+        expected.plus(adapter, load),
         former.minus(adapter),
         loadsRefusedUntil);
   }
 
   AdapterInventory withLoaded(AdapterKey adapter) {
-    return readyAt.containsKey(adapter)
+    return expected.containsKey(adapter)
         ? new AdapterInventory(
-            orderCount, reportedAt, models, held, readyAt.minus(adapter), former, loadsRefusedUntil)
+            orderCount,
+            reportedAt,
+            models,
+            held,
+            expected.minus(adapter),
+            former,
+            loadsRefusedUntil)
         : this;
   }
 
@@ -165,15 +176,15 @@
    * that was ordered recently is taken to be late; any other one is removed.
    */
   AdapterInventory withMissing(AdapterKey adapter, MonotonicTime time) {
-    MonotonicTime expectedAt = readyAt.get(adapter);
-    boolean late = expectedAt != null && time.since(expectedAt).compareTo(MAXIMUM_LOAD_DELAY) < 0;
+    ExpectedLoad load = expected.get(adapter);
+    boolean late = load != null && time.since(load.toldReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
     return late
-        ? withExpectedLoad(adapter, time.plus(LATE_LOAD_DELAY))
+        ? withExpectedLoad(adapter, load.withToldReadyAt(time.plus(LATE_LOAD_DELAY)))
         : without(adapter, bounded(former.plus(adapter, time.nanoseconds())));
   }
 
   AdapterInventory withLoadsRefusedUntil(MonotonicTime until) {
-    return new AdapterInventory(orderCount, reportedAt, models, held, readyAt, former, until);
+    return new AdapterInventory(orderCount, reportedAt, models, held, expected, former, until);
   }
 
   private static PMap<AdapterKey, Long> bounded(PMap<AdapterKey, Long> adapters) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -53,10 +53,17 @@
 
   private final DispatchSettings settings;
   private final Redispatch redispatch;
+  private final LoadTimes times;
 
   AdapterLoads(DispatchSettings settings, Redispatch redispatch) {
     this.settings = settings;
     this.redispatch = redispatch;
+    this.times = new LoadTimes(settings);
+  }
+
+  /** Returns the rules on the load times of adapters. */
+  LoadTimes times() {
+    return times;
   }
 
   /**
@@ -106,7 +113,8 @@
   /** Waits for a load that was ordered. */
   Step<DispatchState, DispatchEffect> await(
       DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
-    Duration delay = view.adapters().readyAt().get(adapter(active)).since(time);
+    Duration delay =
+        times.readyAt(state.instances().loadTimes(), view, adapter(active), time).since(time);
     return RequestWakes.schedule(
         state, active.with(active.progress().loading(view.identifier())), delay, time);
   }
@@ -153,7 +161,6 @@
   /** Wakes the requests that wait for a load once it is expected to be ready. */
   Step<DispatchState, DispatchEffect> onOrdered(
       DispatchState state, DispatchEvent.LoadOrdered ordered, MonotonicTime time) {
-    MonotonicTime readyAt = time.plus(ordered.readyIn());
     Step<DispatchState, DispatchEffect> step =
         Step.of(
             state.withInstances(
@@ -163,7 +170,9 @@
                         ordered.instance(),
                         view ->
                             view.withAdapters(
-                                view.adapters().withExpectedLoad(ordered.adapter(), readyAt)))));
+                                view.adapters()
+                                    .withExpectedLoad(
+                                        ordered.adapter(), times.ordered(view, ordered, time))))));
     for (ActiveRequest active : waitingFor(state, ordered.instance(), ordered.adapter())) {
       step =
           step.andThen(
@@ -171,12 +180,25 @@
                   RequestWakes.schedule(
                       next,
                       active.with(active.progress().withNextWake()),
-                      ordered.readyIn(),
+                      readyIn(next, ordered, time),
                       time));
     }
     return step;
   }
 
+  private Duration readyIn(
+      DispatchState state, DispatchEvent.LoadOrdered ordered, MonotonicTime time) {
+    return state
+        .instances()
+        .find(ordered.instance())
+        .map(
+            view ->
+                times
+                    .readyAt(state.instances().loadTimes(), view, ordered.adapter(), time)
+                    .since(time))
+        .orElse(ordered.readyIn());
+  }
+
   /** Dispatches the requests again that wait for a load that was refused. */
   Step<DispatchState, DispatchEffect> onRefused(
       DispatchState state, DispatchEvent.LoadRefused refused, MonotonicTime time) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -28,13 +28,14 @@
     }
     InstanceLoad processed =
         new InstanceLoad(0, active.progress().addedLoad().pendingPromptTokens(), 0);
+    String instance = active.progress().instance().orElseThrow();
     InstanceTable instances =
-        state
-            .instances()
-            .update(
-                active.progress().instance().orElseThrow(),
-                view ->
-                    withLoadedAdapter(view.withOwnLoad(view.ownLoad().minus(processed)), active));
+        withLoadedAdapter(
+            state
+                .instances()
+                .update(instance, view -> view.withOwnLoad(view.ownLoad().minus(processed))),
+            active,
+            time);
     return quarantine.answered(
         state
             .withInstances(instances)
@@ -146,20 +147,20 @@
     return step.effects().stream().anyMatch(DispatchEffect.Refuse.class::isInstance);
   }
 
-  private static DispatchState withOutcome(
+  private DispatchState withOutcome(
       DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
     Optional<ModelWork> work = active.request().work();
+    String instance = active.progress().instance().orElseThrow();
+    boolean adapterMissing = work.isPresent() && result.outcome() == AttemptOutcome.MISDIRECTED;
     return state.withInstances(
-        state
-            .instances()
-            .update(
-                active.progress().instance().orElseThrow(),
-                view -> {
-                  InstanceView next = withoutMissingAdapter(view, active, result, time);
-                  return work.isPresent() && result.outcome() == AttemptOutcome.MISDIRECTED
-                      ? next
-                      : next.withHealth(health(next.health(), result, time));
-                }));
+        adapterMissing
+            ? dispatcher
+                .loads()
+                .times()
+                .withRejection(state.instances(), instance, work.get().adapter(), time)
+            : state
+                .instances()
+                .update(instance, view -> view.withHealth(health(view.health(), result, time))));
   }
 
   private static InstanceHealth health(
@@ -173,22 +174,15 @@
     };
   }
 
-  private static InstanceView withoutMissingAdapter(
-      InstanceView view, ActiveRequest active, AttemptResult result, MonotonicTime time) {
-    if (active.request().work().isEmpty()) {
-      return view;
-    }
-    return result.outcome() == AttemptOutcome.MISDIRECTED
-        ? view.withAdapters(
-            view.adapters().withMissing(active.request().work().orElseThrow().adapter(), time))
-        : view;
-  }
-
-  private static InstanceView withLoadedAdapter(InstanceView view, ActiveRequest active) {
+  private InstanceTable withLoadedAdapter(
+      InstanceTable instances, ActiveRequest active, MonotonicTime time) {
+    String instance = active.progress().instance().orElseThrow();
     return active
         .request()
         .work()
-        .map(work -> view.withAdapters(view.adapters().withLoaded(work.adapter())))
-        .orElse(view);
+        .map(
+            work ->
+                dispatcher.loads().times().withResponse(instances, instance, work.adapter(), time))
+        .orElse(instances);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -62,9 +62,22 @@
   /** The owner of an instance reported the models and adapters that the instance holds. */
   record AdaptersReported(AdapterReport report) implements DispatchEvent {}
 
-  /** The owner of an instance ordered it to load an adapter. */
-  record LoadOrdered(String instance, AdapterKey adapter, Duration readyIn)
-      implements DispatchEvent {}
+  /**
+   * The owner of an instance ordered it to load an adapter.
+   *
+   * @param instance the identifier of the instance
+   * @param adapter the adapter
+   * @param readyIn the time until the owner expects the adapter to be loaded
+   * @param loadingFor the time since the load was ordered
+   */
+  record LoadOrdered(String instance, AdapterKey adapter, Duration readyIn, Duration loadingFor)
+      implements DispatchEvent {
+
+    /** Creates the event of a load that was ordered now. */
+    public LoadOrdered(String instance, AdapterKey adapter, Duration readyIn) {
+      this(instance, adapter, readyIn, Duration.ZERO);
+    }
+  }
 
   /** A request to load an adapter was refused. */
   record LoadRefused(String instance, AdapterKey adapter, String reason) implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceChoice.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceChoice.java
@@ -9,10 +9,19 @@
 @FunctionalInterface
 interface InstanceChoice {
 
-  /** Returns the best candidate; empty if there are no candidates. */
+  /**
+   * Returns the best candidate; empty if there are no candidates.
+   *
+   * @param request the request
+   * @param service the definition of its service
+   * @param candidates the instances that it may be sent to
+   * @param loadTimes the observed load times of adapters
+   * @param time the current time
+   */
   Optional<Candidate> choose(
       ActiveRequest request,
       Optional<ServiceDefinition> service,
       Collection<InstanceView> candidates,
+      LoadTimeEstimate loadTimes,
       MonotonicTime time);
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
@@ -15,14 +15,17 @@
  * @param byIdentifier all instances, by identifier
  * @param byService the instances of each service, by identifier
  * @param owned the identifiers of the instances that have a live owner
+ * @param loadTimes the load times of adapters as observed at these instances
  */
 record InstanceTable(
     PMap<String, InstanceView> byIdentifier,
     PMap<String, PMap<String, InstanceView>> byService,
-    Set<String> owned) {
+    Set<String> owned,
+    LoadTimeEstimate loadTimes) {
 
   static final InstanceTable EMPTY =
-      new InstanceTable(HashTreePMap.empty(), HashTreePMap.empty(), Set.of());
+      new InstanceTable(
+          HashTreePMap.empty(), HashTreePMap.empty(), Set.of(), LoadTimeEstimate.INITIAL);
 
   /** Copies the identifiers. */
   InstanceTable {
@@ -43,7 +46,7 @@
 
   /** Returns this table after the ownership of instances has changed. */
   InstanceTable withOwned(Set<String> instances) {
-    InstanceTable next = new InstanceTable(byIdentifier, byService, instances);
+    InstanceTable next = new InstanceTable(byIdentifier, byService, instances, loadTimes);
     for (InstanceView view : byIdentifier.values()) {
       if (view.owned() != instances.contains(view.identifier())) {
         next = next.with(view);
@@ -64,7 +67,8 @@
     return new InstanceTable(
         base.byIdentifier.plus(view.identifier(), view),
         base.byService.plus(service, group.plus(view.identifier(), view)),
-        owned);
+        owned,
+        loadTimes);
   }
 
   InstanceTable without(String identifier) {
@@ -74,7 +78,12 @@
     }
     String service = former.instance().service();
     PMap<String, InstanceView> group = byService.get(service).minus(identifier);
-    return new InstanceTable(byIdentifier.minus(identifier), byService.plus(service, group), owned);
+    return new InstanceTable(
+        byIdentifier.minus(identifier), byService.plus(service, group), owned, loadTimes);
+  }
+
+  InstanceTable withLoadTimes(LoadTimeEstimate next) {
+    return next.equals(loadTimes) ? this : new InstanceTable(byIdentifier, byService, owned, next);
   }
 
   InstanceTable update(String identifier, UnaryOperator<InstanceView> change) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -54,9 +54,11 @@
   private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
   private final DispatchSettings settings;
+  private final LoadTimes loadTimes;
 
   LeastExpectedTime(DispatchSettings settings) {
     this.settings = settings;
+    this.loadTimes = new LoadTimes(settings);
   }
 
   @Override
@@ -64,11 +66,12 @@
       ActiveRequest request,
       Optional<ServiceDefinition> service,
       Collection<InstanceView> candidates,
+      LoadTimeEstimate estimate,
       MonotonicTime time) {
     Optional<EngineProfile> engine = service.flatMap(ServiceDefinition::engine);
     Optional<ModelWork> work = request.request().work();
     return engine.isPresent() && work.isPresent()
-        ? chooseEngine(request, work.get().adapter(), engine.get(), candidates, time)
+        ? chooseEngine(request, work.get().adapter(), engine.get(), candidates, estimate, time)
         : choosePlain(request, candidates, time);
   }
 
@@ -93,12 +96,13 @@
       AdapterKey adapter,
       EngineProfile engine,
       Collection<InstanceView> candidates,
+      LoadTimeEstimate estimate,
       MonotonicTime time) {
     boolean copyExists = candidates.stream().anyMatch(view -> hasCopy(view, adapter));
     List<Candidate> coldLoads = new ArrayList<>();
     Candidate best = null;
     for (InstanceView view : candidates) {
-      Candidate candidate = engineCandidate(request, engine, view, copyExists, time);
+      Candidate candidate = engineCandidate(request, engine, view, copyExists, estimate, time);
       if (coldLoad(candidate, adapter)) {
         coldLoads.add(candidate);
       } else if (best == null || candidate.cost() < best.cost()) {
@@ -132,14 +136,16 @@
       EngineProfile engine,
       InstanceView view,
       boolean copyExists,
+      LoadTimeEstimate estimate,
       MonotonicTime time) {
     ModelWork work = request.request().work().orElseThrow();
-    Candidate.LoadRequirement requirement = loadRequirement(view, work.adapter(), time);
+    Candidate.LoadRequirement requirement = loadRequirement(view, work.adapter(), estimate, time);
     double rate = settings.prefillTokensPerMillisecond();
     int cached = view.prefixCache().cachedTokens(work, request.prefixHashes());
     double prefill = Math.max(0, work.promptTokens() - cached) / rate;
     double queueing = view.totalLoad().pendingPromptTokens() / rate;
-    double cost = Math.max(queueing, loadTime(view, work.adapter(), requirement, time)) + prefill;
+    double load = loadTime(view, work.adapter(), requirement, estimate, time);
+    double cost = Math.max(queueing, load) + prefill;
     cost += commonCost(view, time) + view.totalLoad().running() * RUNNING_REQUEST_COST_MILLISECONDS;
     if (requirement == Candidate.LoadRequirement.REQUIRED) {
       boolean additionalCopy = copyExists && !view.adapters().formerlyHeld(work.adapter());
@@ -174,16 +180,15 @@
         : cost + OTHER_DOMAIN_COST_MILLISECONDS;
   }
 
-  private static Candidate.LoadRequirement loadRequirement(
-      InstanceView view, AdapterKey adapter, MonotonicTime time) {
+  private Candidate.LoadRequirement loadRequirement(
+      InstanceView view, AdapterKey adapter, LoadTimeEstimate estimate, MonotonicTime time) {
     if (adapter.baseModel()) {
       return Candidate.LoadRequirement.NONE;
     }
     if (!view.adapters().holds(adapter)) {
       return Candidate.LoadRequirement.REQUIRED;
     }
-    MonotonicTime readyAt = view.adapters().readyAt().get(adapter);
-    return readyAt == null || !time.isBefore(readyAt)
+    return !time.isBefore(loadTimes.readyAt(estimate, view, adapter, time))
         ? Candidate.LoadRequirement.NONE
         : Candidate.LoadRequirement.IN_PROGRESS;
   }
@@ -192,13 +197,14 @@
       InstanceView view,
       AdapterKey adapter,
       Candidate.LoadRequirement requirement,
+      LoadTimeEstimate estimate,
       MonotonicTime time) {
     return switch (requirement) {
       case NONE -> 0;
-      case IN_PROGRESS -> milliseconds(view.adapters().readyAt().get(adapter).since(time));
+      case IN_PROGRESS ->
+          milliseconds(loadTimes.readyAt(estimate, view, adapter, time).since(time));
       case REQUIRED ->
-          milliseconds(
-              view.adapters().formerlyHeld(adapter) ? settings.warmLoad() : settings.coldLoad());
+          milliseconds(loadTimes.expected(estimate, view.adapters().formerlyHeld(adapter), time));
     };
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -80,7 +80,8 @@
       DispatchState state, ActiveRequest active, MonotonicTime time) {
     Optional<ServiceDefinition> service = state.catalogue().service(active.service());
     Optional<Candidate> chosen =
-        choice.choose(active, service, candidates(state, active, time), time);
+        choice.choose(
+            active, service, candidates(state, active, time), state.instances().loadTimes(), time);
     if (chosen.isEmpty()) {
       return awaitInstance(state, active, time);
     }
@@ -321,6 +322,7 @@
             unassigned,
             state.catalogue().service(active.service()),
             candidates(released, unassigned, time),
+            released.instances().loadTimes(),
             time)
         .filter(other -> other.loadRequirement() == Candidate.LoadRequirement.NONE)
         .isPresent();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
@@ -213,6 +213,7 @@
     AdapterSlot slot =
         new AdapterSlot(
             state.versions().of(order.adapter()),
+            order.sentAt(),
             order.sentAt().plus(expected).plus(LOAD_TIME_MARGIN),
             time);
     Optional<PendingLoad> pending = engine.findPending(order.adapter());
@@ -359,17 +360,20 @@
   private FleetEffect answer(
       String requester, String instance, AdapterKey adapter, AdapterSlot slot, MonotonicTime time) {
     Duration left = slot.readyAt().since(time);
+    Duration loadingFor = time.since(slot.orderedAt());
     Duration readyIn = left.isNegative() ? OVERDUE_LOAD_DELAY : left;
     return requester.equals(settings.self())
-        ? new FleetEffect.LoadOrdered(instance, adapter, readyIn)
+        ? new FleetEffect.LoadOrdered(instance, adapter, readyIn, loadingFor)
         : new FleetEffect.SendMessage(
-            requester, new LoadAnswer(instance, adapter, true, readyIn.toMillis() + 1, ""));
+            requester,
+            new LoadAnswer(
+                instance, adapter, true, readyIn.toMillis() + 1, loadingFor.toMillis(), ""));
   }
 
   private FleetEffect refuse(String requester, String instance, AdapterKey adapter, String reason) {
     return requester.equals(settings.self())
         ? new FleetEffect.LoadRefused(instance, adapter, reason)
         : new FleetEffect.SendMessage(
-            requester, new LoadAnswer(instance, adapter, false, 0, reason));
+            requester, new LoadAnswer(instance, adapter, false, 0, 0, reason));
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
@@ -45,8 +45,13 @@
   /**
    * Reports that a load that requests of this host wait for was ordered, or that the adapter is
    * already loaded.
+   *
+   * @param instance the identifier of the instance
+   * @param adapter the adapter
+   * @param readyIn the expected time until the adapter is loaded
+   * @param loadingFor the time since the load was ordered
    */
-  record LoadOrdered(String instance, AdapterKey adapter, Duration readyIn)
+  record LoadOrdered(String instance, AdapterKey adapter, Duration readyIn, Duration loadingFor)
       implements FleetEffect {}
 
   /** Reports that a load that requests of this host wait for was refused. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -301,7 +301,10 @@
   private static FleetEffect loadAnswered(LoadAnswer answer) {
     return answer.ordered()
         ? new FleetEffect.LoadOrdered(
-            answer.instance(), answer.adapter(), Duration.ofMillis(answer.readyInMilliseconds()))
+            answer.instance(),
+            answer.adapter(),
+            Duration.ofMillis(answer.readyInMilliseconds()),
+            Duration.ofMillis(answer.loadingForMilliseconds()))
         : new FleetEffect.LoadRefused(answer.instance(), answer.adapter(), answer.reason());
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/OwnedEngine.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/OwnedEngine.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.fleet;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -37,6 +38,9 @@
     PMap<String, Map<AdapterKey, Integer>> adapterRequests,
     MonotonicTime changedAt) {
 
+  /** Assumed age of an adapter that a server reports as loaded; longer than any load takes. */
+  private static final Duration LOADED_BEFORE_REPORT = Duration.ofSeconds(5);
+
   static OwnedEngine unknown(MonotonicTime time) {
     return new OwnedEngine(
         new ReportStatus(false, Optional.of(time)),
@@ -67,10 +71,13 @@
     for (Map.Entry<AdapterKey, Long> adapter : read.report().adapters().entrySet()) {
       AdapterSlot known = slots.get(adapter.getKey());
       MonotonicTime usedAt = known == null ? time : known.usedAt();
-      next = next.plus(adapter.getKey(), new AdapterSlot(adapter.getValue(), time, usedAt));
+      MonotonicTime orderedAt =
+          known == null ? time.minus(LOADED_BEFORE_REPORT) : known.orderedAt();
+      next =
+          next.plus(adapter.getKey(), new AdapterSlot(adapter.getValue(), orderedAt, time, usedAt));
     }
     for (AdapterKey adapter : read.loading()) {
-      next = next.plus(adapter, new AdapterSlot(0, readyAt, time));
+      next = next.plus(adapter, new AdapterSlot(0, time, readyAt, time));
     }
     return new OwnedEngine(
         new ReportStatus(true, Optional.empty()),
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffectExecutor.java
@@ -63,7 +63,8 @@
       engines.requestReport(request.instance(), fleet::offer);
     } else if (effect instanceof FleetEffect.LoadOrdered ordered) {
       dispatch.offer(
-          new DispatchEvent.LoadOrdered(ordered.instance(), ordered.adapter(), ordered.readyIn()));
+          new DispatchEvent.LoadOrdered(
+              ordered.instance(), ordered.adapter(), ordered.readyIn(), ordered.loadingFor()));
     } else if (effect instanceof FleetEffect.LoadRefused refused) {
       LOG.request(
           "load_refused",
