Evacuated failure domains receive no further requests

Cause: the store item op/evacuate/ZONE was ignored as an unknown key, so hosts kept sending to the servers of a domain that operators evacuate.

Change: ItemDecoder decodes the item by its key alone; an unreadable value still evacuates and is logged as such. The publication duty passes it on as DispatchEvent.EvacuationChanged, in the order of the announcements read with it. EligibleInstances filters the candidates of first and second sends, load requests and the fallback to recently removed instances. If all accepting servers of a service are evacuated, requests that arrive or wait are refused at once with NO_INSTANCE (503, not run).

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
@@ -103,6 +104,9 @@
   record InstanceOwnersChanged(Set<String> ownedInstances, Duration takeoverDelay)
       implements DispatchEvent {}
 
+  /** The evacuation of a failure domain was requested or revoked. */
+  record EvacuationChanged(FailureDomainName domain, boolean evacuated) implements DispatchEvent {}
+
   /** The operators declared a version of an adapter. */
   record VersionDeclared(AdapterKey adapter, long version) implements DispatchEvent {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -10,6 +10,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.overload.StartupQueue;
+import org.parsleyhead.core.placement.PlacementState;
 import org.parsleyhead.core.quarantine.Quarantine;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.pcollections.HashTreePMap;
@@ -31,6 +32,7 @@
  * @param earliestTakeover the earliest instant at which instances without an owner can get one
  * @param startup the requests that wait until this host knows its catalogue and instances
  * @param quarantine the evidence about requests that may end their servers
+ * @param placement the evacuated failure domains and the cold servers
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -43,7 +45,8 @@
     AdapterVersions versions,
     MonotonicTime earliestTakeover,
     StartupQueue<ReceivedRequest> startup,
-    Quarantine quarantine) {
+    Quarantine quarantine,
+    PlacementState placement) {
 
   /** Returns the state of a process that started at an instant. */
   public static DispatchState initial(MonotonicTime time) {
@@ -58,7 +61,8 @@
         AdapterVersions.NONE,
         MonotonicTime.ORIGIN,
         StartupQueue.startedAt(time),
-        Quarantine.EMPTY);
+        Quarantine.EMPTY,
+        PlacementState.EMPTY);
   }
 
   /** Returns the number of requests that are active or wait for the catalogue. */
@@ -124,7 +128,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withInstances(InstanceTable next) {
@@ -139,7 +144,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -166,7 +172,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -185,7 +192,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withVersions(AdapterVersions next) {
@@ -200,7 +208,8 @@
         next,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withEarliestTakeover(MonotonicTime time) {
@@ -215,7 +224,8 @@
         versions,
         time,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withPeers(PeerTable next) {
@@ -230,7 +240,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withStop(StopPlan next) {
@@ -245,7 +256,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -267,7 +279,8 @@
         versions,
         earliestTakeover,
         next,
-        quarantine);
+        quarantine,
+        placement);
   }
 
   DispatchState withQuarantine(Quarantine next) {
@@ -282,6 +295,23 @@
         versions,
         earliestTakeover,
         startup,
+        next,
+        placement);
+  }
+
+  DispatchState withPlacement(PlacementState next) {
+    return new DispatchState(
+        catalogue,
+        instances,
+        requests,
+        buckets,
+        budgets,
+        peers,
+        stop,
+        versions,
+        earliestTakeover,
+        startup,
+        quarantine,
         next);
   }
 
@@ -297,6 +327,7 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        placement);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -11,6 +11,7 @@
 import org.parsleyhead.core.api.Transition;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.placement.PlacementState;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.parsleyhead.core.serving.ServiceDefinition;
@@ -89,6 +90,9 @@
                   .withEarliestTakeover(time.plus(changed.takeoverDelay())),
               time);
     }
+    if (event instanceof DispatchEvent.EvacuationChanged changed) {
+      return evacuationChanged(state, changed, time);
+    }
     if (event instanceof DispatchEvent.LoadOrdered ordered) {
       return dispatcher.loads().onOrdered(state, ordered, time);
     }
@@ -175,6 +179,17 @@
     return state.withInstances(table);
   }
 
+  /** Dispatches waiting requests again, which may be refused at once or sent now. */
+  private Step<DispatchState, DispatchEffect> evacuationChanged(
+      DispatchState state, DispatchEvent.EvacuationChanged changed, MonotonicTime time) {
+    PlacementState placement = state.placement();
+    DispatchState next =
+        state.withPlacement(
+            placement.withEvacuated(
+                placement.evacuated().with(changed.domain(), changed.evacuated())));
+    return dispatcher.loads().onOwnersChanged(next, time);
+  }
+
   private static DispatchState versionDeclared(
       DispatchState state, DispatchEvent.VersionDeclared declared) {
     InstanceTable table = state.instances();
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestCompletion.java
@@ -33,6 +33,22 @@
     return awaitOrEnd(state, active, code, retryAfter, inputs(active, time), time);
   }
 
+  /**
+   * Fails a request as {@link #fail(DispatchState, ActiveRequest, DispatchRefusal.Code, Duration,
+   * MonotonicTime)} does, and logs why.
+   *
+   * @param cause the inputs of the decision, for the log
+   */
+  static Step<DispatchState, DispatchEffect> fail(
+      DispatchState state,
+      ActiveRequest active,
+      DispatchRefusal.Code code,
+      Duration retryAfter,
+      String cause,
+      MonotonicTime time) {
+    return awaitOrEnd(state, active, code, retryAfter, cause + " " + inputs(active, time), time);
+  }
+
   /**
    * Fails a request because of a trait, and logs which one. A response that has started waits until
    * the restriction ends, if it may still be resumed then.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -32,12 +32,14 @@
   private final InstanceChoice choice;
   private final AdapterLoads loads;
   private final RequestRetries retries;
+  private final EligibleInstances eligible;
 
   RequestDispatcher(DispatchSettings settings, InstanceChoice choice) {
     this.settings = settings;
     this.choice = choice;
     this.loads = new AdapterLoads(settings, this::dispatch);
     this.retries = new RequestRetries(settings);
+    this.eligible = new EligibleInstances(settings);
   }
 
   Step<DispatchState, DispatchEffect> dispatch(
@@ -82,7 +84,9 @@
     Optional<Candidate> chosen =
         choice.choose(active, service, candidates(state, active, time), time);
     if (chosen.isEmpty()) {
-      return awaitInstance(state, active, time);
+      return eligible
+          .withoutCandidates(state, active, time)
+          .orElseGet(() -> awaitInstance(state, active, time));
     }
     InstanceView view = chosen.get().view();
     return switch (chosen.get().loadRequirement()) {
@@ -129,7 +133,8 @@
     for (InstanceView view : all) {
       if (!active.maySendTo(view.identifier())
           || !holdsModel(active, view)
-          || view.health().refuses(time)) {
+          || view.health().refuses(time)
+          || !eligible.allows(state, active, view, time)) {
         continue;
       }
       if (view.acceptsRequests()) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/AnnouncementLog.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/AnnouncementLog.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.runtime.log.EventLog;
 
@@ -50,6 +51,13 @@
     }
   }
 
+  /** Returns the number of known instances in a failure domain. */
+  long instancesIn(FailureDomainName domain) {
+    return lastAnnouncements.values().stream()
+        .filter(instance -> instance.failureDomain().equals(domain))
+        .count();
+  }
+
   void removed(String identifier) {
     lastAnnouncements.remove(identifier);
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -136,19 +136,52 @@
     List<Instance> announced = new ArrayList<>();
     for (PublishedItem item : changed.items()) {
       DecodedItem decoded = decoder.decode(item);
-      if (decoded instanceof DecodedItem.Announcement announcement) {
+      if (decoded instanceof DecodedItem.Evacuation evacuation) {
+        // An announcement that was written before an evacuation ended must not count as newer.
+        distributeAnnounced(announced);
+        announced.clear();
+        distribute(evacuation, item, changed);
+      } else if (decoded instanceof DecodedItem.Announcement announcement) {
         announced.add(announcement.instance());
         announcements.announced(announcement.instance(), item.revision(), changed.source());
       } else {
         distribute(decoded, item, changed);
       }
     }
+    distributeAnnounced(announced);
+  }
+
+  private void distributeAnnounced(List<Instance> announced) {
     if (!announced.isEmpty()) {
-      dispatch.send(new DispatchEvent.InstancesAnnounced(announced));
-      fleet.send(new FleetEvent.InstancesAnnounced(announced));
+      dispatch.send(new DispatchEvent.InstancesAnnounced(List.copyOf(announced)));
+      fleet.send(new FleetEvent.InstancesAnnounced(List.copyOf(announced)));
     }
   }
 
+  private void distribute(
+      DecodedItem.Evacuation evacuation, PublishedItem item, PublicationEffect.Changed changed) {
+    long instances = announcements.instancesIn(evacuation.domain());
+    LOG.warning(
+        "evacuation",
+        "domain",
+        evacuation.domain(),
+        "evacuated",
+        evacuation.evacuated(),
+        "known_instances",
+        instances,
+        "outcome",
+        instances == 0 ? "no effect until a server of this domain is announced" : "in force",
+        "value",
+        evacuation.readable() ? "valid" : "unreadable, treated as {}",
+        "revision",
+        item.revision(),
+        "heard_from",
+        changed.source(),
+        "silent_ms",
+        changed.platformSilence().toMillis());
+    dispatch.send(new DispatchEvent.EvacuationChanged(evacuation.domain(), evacuation.evacuated()));
+  }
+
   private void distribute(
       DecodedItem decoded, PublishedItem item, PublicationEffect.Changed changed) {
     String itemSource = changed.source();
