Owners order loads by the rank of the requests that wait for them

Owners ordered loads first come, first served, refused the newest one at 16 pending loads, and refused all of them once the oldest had waited 120 ms for a slot. A load request now carries the rank of its request; the owner orders the load with the earliest turn, drops the one with the latest, and refuses after 120 ms only those that have waited that long. A request for an adapter that is already pending is never refused for the length of the list.

The message has the type 116 in place of 102, so hosts of different versions drop each other's load requests.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -44,7 +44,7 @@
               FleetMessageTypes::writeAnswer,
               FleetMessageTypes::readAnswer),
           new MessageType<>(
-              102,
+              116,
               LoadRequest.class,
               FleetMessageTypes::writeLoadRequest,
               FleetMessageTypes::readLoadRequest),
@@ -168,10 +168,15 @@
       throws IOException {
     packer.packString(message.endpoint()).packString(message.instance());
     writeAdapter(message.adapter(), packer);
+    RankEncoding.write(message.rank(), packer);
   }
 
   private static LoadRequest readLoadRequest(MessageUnpacker unpacker) throws IOException {
-    return new LoadRequest(unpacker.unpackString(), unpacker.unpackString(), readAdapter(unpacker));
+    return new LoadRequest(
+        unpacker.unpackString(),
+        unpacker.unpackString(),
+        readAdapter(unpacker),
+        RankEncoding.read(unpacker));
   }
 
   private static void writeLoadAnswer(LoadAnswer message, MessagePacker packer) throws IOException {
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,6 +26,7 @@
 import org.parsleyhead.core.fleet.QuarantineReport;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
+import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.publication.PublishedItem;
 import org.parsleyhead.core.quarantine.Trait;
 import org.parsleyhead.core.quarantine.TraitReport;
@@ -57,7 +59,16 @@
             List.of(new AdapterReport("i-2", 7, 8, Set.of("base"), Map.of(ADAPTER, 9L))),
             Optional.of(new HeartbeatAnswer(6, "10.0.0.1:9", 2, true, List.of()))),
         new HeartbeatAnswer(1, "10.0.0.1:9", 2, false, List.of("i-1")),
-        new LoadRequest("10.0.0.1:9", "i-1", ADAPTER),
+        new LoadRequest(
+            "10.0.0.1:9",
+            "i-1",
+            ADAPTER,
+            new RequestRank(
+                1,
+                Duration.ofMillis(2),
+                Duration.ofMillis(3),
+                Duration.ofMillis(4),
+                Duration.ofMillis(5))),
         new LoadAnswer("i-1", ADAPTER, false, 0, "no_slot"),
         new PublicationUpdateRequest("10.0.0.1:9", 3),
         new PublicationUpdate(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ActiveRequest.java
@@ -61,6 +61,13 @@
     return request.key();
   }
 
+  /** Returns the priority of the client account, else of the route; 0 is the most urgent. */
+  int priority() {
+    int priority =
+        account.map(limits -> limits.priority().orElse(route.priority())).orElse(route.priority());
+    return Math.max(0, priority);
+  }
+
   boolean expired(MonotonicTime time) {
     return !time.isBefore(deadline);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -53,10 +53,12 @@
 
   private final DispatchSettings settings;
   private final Redispatch redispatch;
+  private final RequestRanks ranks;
 
   AdapterLoads(DispatchSettings settings, Redispatch redispatch) {
     this.settings = settings;
     this.redispatch = redispatch;
+    this.ranks = new RequestRanks(settings);
   }
 
   /**
@@ -81,7 +83,10 @@
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
-                view.identifier(), adapter(active), active.request().identifier()))
+                view.identifier(),
+                adapter(active),
+                active.request().identifier(),
+                ranks.withLoad(active, view, time)))
         .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT, time));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -6,6 +6,7 @@
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.quarantine.Audience;
 import org.parsleyhead.core.quarantine.Standing;
 import org.parsleyhead.core.quarantine.Trait;
@@ -78,8 +79,8 @@
   record ResumptionDelayed(ServingRequest request, DispatchRefusal.Code code, Duration timeLeft)
       implements DispatchEffect {}
 
-  /** Asks the owner of an instance to order the load of an adapter. */
-  record RequestLoad(String instance, AdapterKey adapter, String identifier)
+  /** Asks the owner of an instance to order the load of an adapter for a request with a rank. */
+  record RequestLoad(String instance, AdapterKey adapter, String identifier, RequestRank rank)
       implements DispatchEffect {}
 
   /**
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
@@ -11,9 +11,9 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.RankOrder;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.pcollections.HashTreePMap;
-import org.pcollections.TreePVector;
 
 /**
  * Schedules load and unload orders to the model servers whose lease this host holds.
@@ -52,10 +52,12 @@
 
   private final FleetSettings settings;
   private final Leases leases;
+  private final PendingLoads pendingLoads;
 
-  EngineOrderScheduler(FleetSettings settings, Leases leases) {
+  EngineOrderScheduler(FleetSettings settings, Leases leases, RankOrder order) {
     this.settings = settings;
     this.leases = leases;
+    this.pendingLoads = new PendingLoads(order);
   }
 
   Step<FleetState, FleetEffect> loadRequested(
@@ -73,10 +75,6 @@
       return Step.of(
           used, answer(request.endpoint(), request.instance(), request.adapter(), slot, time));
     }
-    if (engine.pending().size() >= MAXIMUM_PENDING_LOADS) {
-      return Step.of(
-          state, refuse(request.endpoint(), request.instance(), request.adapter(), "queue_full"));
-    }
     Optional<PendingLoad> known = engine.findPending(request.adapter());
     OwnedEngine next =
         known.isPresent()
@@ -85,10 +83,31 @@
                     .pending()
                     .with(
                         engine.pending().indexOf(known.get()),
-                        known.get().withRequester(request.endpoint())))
-            : engine.withPending(
-                engine.pending().plus(PendingLoad.of(request.adapter(), request.endpoint(), time)));
-    return advance(state.withEngine(request.instance(), next), request.instance(), time);
+                        pendingLoads.merged(known.get(), request, time)))
+            : engine.withPending(engine.pending().plus(PendingLoad.of(request, time)));
+    return bounded(state, request.instance(), next, time)
+        .andThen(bounded -> advance(bounded, request.instance(), time));
+  }
+
+  /**
+   * Stores a server; refuses the pending load with the latest turn if there are too many. The load
+   * whose order is in flight is kept, since it cannot be taken back.
+   */
+  private Step<FleetState, FleetEffect> bounded(
+      FleetState state, String instance, OwnedEngine engine, MonotonicTime time) {
+    if (engine.pending().size() <= MAXIMUM_PENDING_LOADS) {
+      return Step.of(state.withEngine(instance, engine));
+    }
+    List<PendingLoad> unordered =
+        engine.pending().stream()
+            .filter(
+                load ->
+                    engine.inFlight().isEmpty()
+                        || !engine.inFlight().get().adapter().equals(load.adapter()))
+            .toList();
+    PendingLoad last = pendingLoads.last(unordered, time);
+    return refuseLoads(state, instance, engine, List.of(last), "queue_full")
+        .with(List.of(pendingLoads.dropped(instance, last, time)));
   }
 
   Step<FleetState, FleetEffect> orderAnswered(
@@ -276,16 +295,18 @@
       EngineProfile profile,
       MonotonicTime time) {
     String instance = target.identifier();
-    PendingLoad first = engine.pending().get(0);
+    PendingLoad first = pendingLoads.first(engine.pending(), time);
     long loading =
         engine.slots().values().stream().filter(slot -> time.isBefore(slot.readyAt())).count();
     boolean replaces = engine.slots().containsKey(first.adapter());
     boolean full = !replaces && engine.slots().size() >= profile.adapterSlots();
     Optional<AdapterKey> evicted = full ? evictionCandidate(engine, time) : Optional.empty();
     if (loading >= MAXIMUM_CONCURRENT_LOADS || full && evicted.isEmpty()) {
-      return time.since(first.requestedAt()).compareTo(SLOT_WAIT_TIMEOUT) > 0
-          ? refusePending(state, instance, engine, "no_slot")
-          : Step.of(state);
+      List<PendingLoad> overdue =
+          engine.pending().stream()
+              .filter(load -> time.since(load.requestedAt()).compareTo(SLOT_WAIT_TIMEOUT) > 0)
+              .toList();
+      return refuseLoads(state, instance, engine, overdue, "no_slot");
     }
     return full
         ? order(state, target, engine, FleetEffect.OrderKind.UNLOAD, evicted.get(), time)
@@ -346,13 +367,22 @@
 
   private Step<FleetState, FleetEffect> refusePending(
       FleetState state, String instance, OwnedEngine engine, String reason) {
+    return refuseLoads(state, instance, engine, engine.pending(), reason);
+  }
+
+  private Step<FleetState, FleetEffect> refuseLoads(
+      FleetState state,
+      String instance,
+      OwnedEngine engine,
+      List<PendingLoad> refused,
+      String reason) {
     List<FleetEffect> effects = new ArrayList<>();
-    for (PendingLoad load : engine.pending()) {
+    for (PendingLoad load : refused) {
       for (String requester : load.requesters()) {
         effects.add(refuse(requester, instance, load.adapter(), reason));
       }
     }
-    OwnedEngine next = engine.withPending(TreePVector.empty());
+    OwnedEngine next = engine.withPending(engine.pending().minusAll(refused));
     return new Step<>(state.withEngine(instance, next), effects);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
@@ -7,6 +7,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.quarantine.Audience;
 import org.parsleyhead.core.quarantine.TraitReport;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -26,7 +27,7 @@
   record LoadRequested(LoadRequest request) implements FleetEvent {}
 
   /** A request of this host needs an adapter to be loaded. */
-  record LoadNeeded(String instance, AdapterKey adapter) implements FleetEvent {}
+  record LoadNeeded(String instance, AdapterKey adapter, RequestRank rank) implements FleetEvent {}
 
   /** The owner of an instance answered a load request of this host. */
   record LoadAnswered(LoadAnswer answer) implements FleetEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -11,6 +11,7 @@
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.api.Transition;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.TargetShareOrder;
 import org.parsleyhead.core.quarantine.Audience;
 
 /**
@@ -32,7 +33,7 @@
   public FleetTransition(FleetSettings settings) {
     this.settings = Preconditions.requireNonNull(settings, "settings");
     this.leases = new Leases(settings);
-    this.orders = new EngineOrderScheduler(settings, leases);
+    this.orders = new EngineOrderScheduler(settings, leases, new TargetShareOrder());
     this.heartbeats = new Heartbeats(settings, leases);
     this.silentHosts = new SilentHosts(settings);
     this.self = HostIdentity.of(settings.self());
@@ -251,7 +252,8 @@
 
   private Step<FleetState, FleetEffect> loadNeeded(
       FleetState state, FleetEvent.LoadNeeded needed, MonotonicTime time) {
-    LoadRequest request = new LoadRequest(settings.self(), needed.instance(), needed.adapter());
+    LoadRequest request =
+        new LoadRequest(settings.self(), needed.instance(), needed.adapter(), needed.rank());
     if (state.engines().containsKey(needed.instance())) {
       return orders.loadRequested(state, request, time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/RequestRank.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/RequestRank.java
@@ -17,11 +17,6 @@
 public record RequestRank(
     int priority, Duration waited, Duration target, Duration limit, Duration work) {
 
-  /** Rank of a load request that carries none: an ordinary request that has just arrived. */
-  public static final RequestRank DEFAULT =
-      new RequestRank(
-          2, Duration.ZERO, Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofMillis(250));
-
   /** Validates the components. */
   public RequestRank {
     Preconditions.requireNonNegative(priority, "priority");
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/TargetShareOrder.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/TargetShareOrder.java
@@ -8,8 +8,8 @@
  * the time to its deadline.
  *
  * <p>Stateless and thread-safe. No request starves: its turn is a fixed instant before its
- * deadline, while the turns of new arrivals are always in the future. {@code docs/design/overload.md}
- * compares this order with others.
+ * deadline, while the turns of new arrivals are always in the future. {@code
+ * docs/design/overload.md} compares this order with others.
  */
 public final class TargetShareOrder implements RankOrder {
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
@@ -9,8 +9,10 @@
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -129,7 +131,29 @@
     return state.statistics().get(PEER).admittedUnits().getOrDefault(ACCOUNT, 0.0);
   }
 
-  private void apply(FleetEvent event) {
+  /** Receives a load request of another host; returns the effects. */
+  List<FleetEffect> request(String adapter, RequestRank rank) {
+    return apply(
+        new FleetEvent.LoadRequested(
+            new LoadRequest(PEER, INSTANCE, new AdapterKey("base", adapter), rank)));
+  }
+
+  /** Accepts an order at the server; returns the effects. */
+  List<FleetEffect> accept(FleetEffect.SendOrder order) {
+    return apply(new FleetEvent.OrderAnswered(INSTANCE, order.orderNumber(), 200));
+  }
+
+  /** Waits without a tick. */
+  void advance(Duration duration) {
+    now = now.plus(duration);
+  }
+
+  /** Receives a tick; returns the effects. */
+  List<FleetEffect> tick() {
+    return apply(new FleetEvent.Tick(0, 1, Map.of(), Map.of(), Map.of()));
+  }
+
+  private List<FleetEffect> apply(FleetEvent event) {
     Step<FleetState, FleetEffect> step = transition.apply(state, event, now);
     state = step.state();
     for (FleetEffect effect : step.effects()) {
@@ -138,6 +162,7 @@
         lastNonce = heartbeat.nonce();
       }
     }
+    return step.effects();
   }
 
   private static Instance instance(long startedAt) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
@@ -19,6 +19,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
+import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.RequestLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -39,6 +40,10 @@
   private static final int MODEL_SERVERS = 4;
   private static final int ADAPTERS = 40;
 
+  private static final RequestRank RANK =
+      new RequestRank(
+          1, Duration.ZERO, Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofMillis(250));
+
   private final Random random;
   private final double loss;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
@@ -89,7 +94,7 @@
   void loadAndUse(String name, String instance, AdapterKey adapter) {
     Host host = hosts.get(name);
     host.adapterRequests = Map.of(instance, Map.of(adapter, 1));
-    host.apply(new FleetEvent.LoadNeeded(instance, adapter));
+    host.apply(new FleetEvent.LoadNeeded(instance, adapter, RANK));
   }
 
   /** Notifies a host that its process is about to stop. */
@@ -193,7 +198,7 @@
     host.apply(new FleetEvent.Tick(now / 1_000_000, 1, Map.of(), Map.of(), host.adapterRequests));
     String instance = "i-" + random.nextInt(MODEL_SERVERS);
     AdapterKey adapter = new AdapterKey("base", "a" + random.nextInt(ADAPTERS));
-    host.apply(new FleetEvent.LoadNeeded(instance, adapter));
+    host.apply(new FleetEvent.LoadNeeded(instance, adapter, RANK));
     schedule(TICK.toNanos(), () -> tick(host));
   }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/TargetShareOrderTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/TargetShareOrderTests.java
@@ -15,8 +15,7 @@
   private final RankOrder order = new TargetShareOrder();
 
   private static RequestRank rank(int priority, long waited, long target, long limit, long work) {
-    return new RequestRank(
-        priority, millis(waited), millis(target), millis(limit), millis(work));
+    return new RequestRank(priority, millis(waited), millis(target), millis(limit), millis(work));
   }
 
   private static Duration millis(long value) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -89,8 +89,14 @@
           "instance",
           load.instance(),
           "adapter",
-          load.adapter());
-      if (!fleet.offer(new FleetEvent.LoadNeeded(load.instance(), load.adapter()))) {
+          load.adapter(),
+          "priority",
+          load.rank().priority(),
+          "waited_ms",
+          load.rank().waited().toMillis(),
+          "work_ms",
+          load.rank().work().toMillis());
+      if (!fleet.offer(new FleetEvent.LoadNeeded(load.instance(), load.adapter(), load.rank()))) {
         dispatch.send(new DispatchEvent.LoadRefused(load.instance(), load.adapter(), "ring_full"));
       }
       return;
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/peers/PeerSocketsTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/peers/PeerSocketsTests.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -28,6 +29,7 @@
 import org.parsleyhead.core.api.Sender;
 import org.parsleyhead.core.fleet.LoadRequest;
 import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.overload.RequestRank;
 
 @DisplayName("The sockets between hosts")
 @Timeout(60)
@@ -61,7 +63,11 @@
   }
 
   private static LoadRequest message(String instance) {
-    return new LoadRequest("host", instance, new AdapterKey("base", "a1"));
+    return new LoadRequest(
+        "host",
+        instance,
+        new AdapterKey("base", "a1"),
+        new RequestRank(0, Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO));
   }
 
   private String nextInstance() throws InterruptedException {
