--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -54,11 +54,13 @@
   private final DispatchSettings settings;
   private final Redispatch redispatch;
   private final LoadTimes times;
+  private final RequestRanks ranks;
 
   AdapterLoads(DispatchSettings settings, Redispatch redispatch) {
     this.settings = settings;
     this.redispatch = redispatch;
     this.times = new LoadTimes(settings);
+    this.ranks = new RequestRanks(settings);
   }
 
   /** Returns the rules on the load times of adapters. */
@@ -88,7 +90,10 @@
     return Step.<DispatchState, DispatchEffect>of(
             state,
             new DispatchEffect.RequestLoad(
-                view.identifier(), adapter(active), active.request().identifier()))
+                view.identifier(),
+                adapter(active),
+                active.request().identifier(),
+                ranks.withLoad(active, view, time)))
         .andThen(before -> RequestWakes.schedule(before, loading, LOAD_RESPONSE_TIMEOUT, time));
   }
 
