Dispatch by the load and the pace that servers report

Responses of some servers carry X-Parsleyhead-Server-Load, which was not read. The dialect decodes it, the events ResponseStarted and AttemptEnded pass it on, and the costs of plain requests and the prefill rate use the estimated room and pace of each instance. Instances that report nothing cost what they did before.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -34,7 +34,12 @@
             .update(
                 active.progress().instance().orElseThrow(),
                 view ->
-                    withLoadedAdapter(view.withOwnLoad(view.ownLoad().minus(processed)), active));
+                    ResponseReports.started(
+                        withLoadedAdapter(
+                            view.withOwnLoad(view.ownLoad().minus(processed)), active),
+                        active,
+                        started.load(),
+                        time));
     return quarantine.answered(
         state
             .withInstances(instances)
@@ -67,17 +72,21 @@
       return Step.of(state);
     }
     if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
-      return onCurrentAttemptEnded(state, active, ended.result(), time);
+      return onCurrentAttemptEnded(state, active, ended, time);
     }
     DispatchState returned = RequestRetries.refund(state, active);
-    return onCurrentAttemptEnded(
-        returned, returned.requests().get(active.key()), ended.result(), time);
+    return onCurrentAttemptEnded(returned, returned.requests().get(active.key()), ended, time);
   }
 
   private Step<DispatchState, DispatchEffect> onCurrentAttemptEnded(
-      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
+      DispatchState state,
+      ActiveRequest active,
+      DispatchEvent.AttemptEnded ended,
+      MonotonicTime time) {
+    AttemptResult result = ended.result();
     DispatchState updated =
-        withOutcome(RequestCompletion.withoutAddedLoad(state, active), active, result, time);
+        withOutcome(
+            RequestCompletion.withoutAddedLoad(state, active), active, result, ended.load(), time);
     if (result.outcome() == AttemptOutcome.COMPLETED) {
       return quarantine
           .answered(updated.withoutRequest(active.key()), active, time)
@@ -147,7 +156,11 @@
   }
 
   private static DispatchState withOutcome(
-      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
+      DispatchState state,
+      ActiveRequest active,
+      AttemptResult result,
+      Optional<ReportedLoad> load,
+      MonotonicTime time) {
     Optional<ModelWork> work = active.request().work();
     return state.withInstances(
         state
@@ -155,7 +168,13 @@
             .update(
                 active.progress().instance().orElseThrow(),
                 view -> {
-                  InstanceView next = withoutMissingAdapter(view, active, result, time);
+                  InstanceView next =
+                      ResponseReports.ended(
+                          withoutMissingAdapter(view, active, result, time),
+                          active,
+                          result.outcome(),
+                          load,
+                          time);
                   return work.isPresent() && result.outcome() == AttemptOutcome.MISDIRECTED
                       ? next
                       : next.withHealth(health(next.health(), result, time));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -18,8 +18,21 @@
   /** A complete request was received. */
   record Received(ServingRequest request) implements DispatchEvent {}
 
-  /** The first part of a response was written to the caller. */
-  record ResponseStarted(long requestKey, int attempt) implements DispatchEvent {}
+  /**
+   * The first part of a response was written to the caller.
+   *
+   * @param requestKey the key of the request
+   * @param attempt the number of the attempt
+   * @param load the load that the head of the response reports; empty if it reports none
+   */
+  record ResponseStarted(long requestKey, int attempt, Optional<ReportedLoad> load)
+      implements DispatchEvent {
+
+    /** Creates the event of a response that reports no load. */
+    public ResponseStarted(long requestKey, int attempt) {
+      this(requestKey, attempt, Optional.empty());
+    }
+  }
 
   /**
    * A stream that has started and can be resumed has had no complete event for some time; repeated
@@ -30,9 +43,23 @@
   /** An attempt that was to be withdrawn goes on, since its instance was not silent any more. */
   record AttemptKept(long requestKey, int attempt) implements DispatchEvent {}
 
-  /** An attempt at an instance ended. */
-  record AttemptEnded(long requestKey, int attempt, AttemptResult result)
-      implements DispatchEvent {}
+  /**
+   * An attempt at an instance ended.
+   *
+   * @param requestKey the key of the request
+   * @param attempt the number of the attempt
+   * @param result how it ended
+   * @param load the load that the head of the response reports, if no event has passed it on yet
+   */
+  record AttemptEnded(
+      long requestKey, int attempt, AttemptResult result, Optional<ReportedLoad> load)
+      implements DispatchEvent {
+
+    /** Creates the event of an attempt whose response reports no load. */
+    public AttemptEnded(long requestKey, int attempt, AttemptResult result) {
+      this(requestKey, attempt, result, Optional.empty());
+    }
+  }
 
   /** The caller closed its connection. */
   record CallerDisconnected(long requestKey) implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
@@ -17,6 +17,7 @@
  * @param adapters the models and adapters that the instance holds
  * @param prefixCache the estimated content of its prefix cache
  * @param owned whether it has a live owner, which may send it orders
+ * @param condition what it reported about its load and pace
  */
 record InstanceView(
     Instance instance,
@@ -26,7 +27,8 @@
     InstanceHealth health,
     AdapterInventory adapters,
     PrefixCacheEstimate prefixCache,
-    boolean owned) {
+    boolean owned,
+    ServerCondition condition) {
 
   static InstanceView fresh(Instance instance, MonotonicTime time) {
     return new InstanceView(
@@ -37,7 +39,8 @@
         InstanceHealth.healthy(time),
         AdapterInventory.announced(instance, time),
         PrefixCacheEstimate.EMPTY,
-        false);
+        false,
+        ServerCondition.UNREPORTED);
   }
 
   String identifier() {
@@ -71,7 +74,8 @@
         health,
         adapters.withAnnouncement(announced, time),
         prefixCache,
-        owned);
+        owned,
+        condition);
   }
 
   /** Returns this view after the instance has stated what it wants of this host. */
@@ -89,42 +93,64 @@
 
   private InstanceView withLeaving() {
     return new InstanceView(
-        instance.asDraining(), removedAt, ownLoad, peerLoad, health, adapters, prefixCache, owned);
+        instance.asDraining(),
+        removedAt,
+        ownLoad,
+        peerLoad,
+        health,
+        adapters,
+        prefixCache,
+        owned,
+        condition);
   }
 
   InstanceView withRemovedAt(MonotonicTime time) {
     return new InstanceView(
-        instance, Optional.of(time), ownLoad, peerLoad, health, adapters, prefixCache, owned);
+        instance,
+        Optional.of(time),
+        ownLoad,
+        peerLoad,
+        health,
+        adapters,
+        prefixCache,
+        owned,
+        condition);
   }
 
   InstanceView withOwnLoad(InstanceLoad load) {
     return new InstanceView(
-        instance, removedAt, load, peerLoad, health, adapters, prefixCache, owned);
+        instance, removedAt, load, peerLoad, health, adapters, prefixCache, owned, condition);
   }
 
   InstanceView withPeerLoad(InstanceLoad load) {
     return new InstanceView(
-        instance, removedAt, ownLoad, load, health, adapters, prefixCache, owned);
+        instance, removedAt, ownLoad, load, health, adapters, prefixCache, owned, condition);
   }
 
   InstanceView withHealth(InstanceHealth next) {
     return new InstanceView(
-        instance, removedAt, ownLoad, peerLoad, next, adapters, prefixCache, owned);
+        instance, removedAt, ownLoad, peerLoad, next, adapters, prefixCache, owned, condition);
   }
 
   InstanceView withAdapters(AdapterInventory next) {
     return new InstanceView(
-        instance, removedAt, ownLoad, peerLoad, health, next, prefixCache, owned);
+        instance, removedAt, ownLoad, peerLoad, health, next, prefixCache, owned, condition);
   }
 
   InstanceView withOwned(boolean next) {
     return next == owned
         ? this
         : new InstanceView(
-            instance, removedAt, ownLoad, peerLoad, health, adapters, prefixCache, next);
+            instance, removedAt, ownLoad, peerLoad, health, adapters, prefixCache, next, condition);
   }
 
   InstanceView withPrefixCache(PrefixCacheEstimate next) {
-    return new InstanceView(instance, removedAt, ownLoad, peerLoad, health, adapters, next, owned);
+    return new InstanceView(
+        instance, removedAt, ownLoad, peerLoad, health, adapters, next, owned, condition);
+  }
+
+  InstanceView withCondition(ServerCondition next) {
+    return new InstanceView(
+        instance, removedAt, ownLoad, peerLoad, health, adapters, prefixCache, owned, next);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -74,14 +75,19 @@
 
   private Optional<Candidate> choosePlain(
       ActiveRequest request, Collection<InstanceView> candidates, MonotonicTime time) {
-    Candidate best = null;
+    List<Candidate> costs = new ArrayList<>();
+    boolean reported = false;
     for (InstanceView view : candidates) {
-      double cost = plainCost(request, view, time);
-      if (best == null || cost < best.cost()) {
-        best = new Candidate(view, cost, Candidate.LoadRequirement.NONE);
-      }
+      double cost = commonCost(view, time) + PlainExpectation.cost(request, view, time);
+      costs.add(new Candidate(view, cost, Candidate.LoadRequirement.NONE));
+      reported |= view.condition().reported();
     }
-    return Optional.ofNullable(best);
+    return reported
+        ? TwoRandomChoices.choose(
+            costs,
+            Rendezvous.weight(request.request().hash(), request.key()),
+            PlainExpectation.costWithinTarget(request))
+        : costs.stream().min(Comparator.comparingDouble(Candidate::cost));
   }
 
   /**
@@ -135,7 +141,7 @@
       MonotonicTime time) {
     ModelWork work = request.request().work().orElseThrow();
     Candidate.LoadRequirement requirement = loadRequirement(view, work.adapter(), time);
-    double rate = settings.prefillTokensPerMillisecond();
+    double rate = settings.prefillTokensPerMillisecond() / view.condition().paceAt(time);
     int cached = view.prefixCache().cachedTokens(work, request.prefixHashes());
     double prefill = Math.max(0, work.promptTokens() - cached) / rate;
     double queueing = view.totalLoad().pendingPromptTokens() / rate;
@@ -158,12 +164,6 @@
     return new Candidate(view, cost, requirement);
   }
 
-  private double plainCost(ActiveRequest request, InstanceView view, MonotonicTime time) {
-    double target = request.route().latencyTarget().toMillis();
-    double utilization = (double) view.totalLoad().running() / view.instance().slots();
-    return commonCost(view, time) + utilization * target / 2;
-  }
-
   private double commonCost(InstanceView view, MonotonicTime time) {
     double cost = view.health().scoreAt(time) * FAILING_COST_MILLISECONDS;
     if (view.health().avoided(time)) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Progress.java
@@ -77,9 +77,13 @@
         wakeNumber + 1);
   }
 
-  Progress sent(String target, InstanceLoad load) {
+  Progress sent(String target, InstanceLoad load, SendEstimate estimate) {
     return new Progress(
-        Assignment.sent(target, load), history.withSent(), responseStarted, loads, wakeNumber + 1);
+        Assignment.sent(target, load, estimate),
+        history.withSent(),
+        responseStarted,
+        loads,
+        wakeNumber + 1);
   }
 
   /** Returns this progress after the response has started, by when the prompt is processed. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -161,7 +161,10 @@
     InstanceView view = candidate.view();
     Optional<ModelWork> work = active.request().work();
     InstanceLoad addedLoad = addedLoad(active, view);
-    Progress progress = active.progress().sent(view.identifier(), addedLoad);
+    Progress progress =
+        active
+            .progress()
+            .sent(view.identifier(), addedLoad, estimate(state, active, view, addedLoad, time));
     InstanceView updated = view.withOwnLoad(view.ownLoad().plus(addedLoad));
     if (work.isPresent()) {
       long capacity = cacheTokens(state, active.service());
@@ -185,7 +188,7 @@
             active.route().kind().stream(),
             active.route().kind().repeatable(),
             work.map(requested -> state.versions().of(requested.adapter())).orElse(0L),
-            inputs(active, candidate, state));
+            inputs(active, candidate, state) + view.condition().inputs(time));
     return Step.<DispatchState, DispatchEffect>of(next, send)
         .andThen(
             before ->
@@ -353,6 +356,20 @@
         1, Math.max(0, work.get().promptTokens() - cached), work.get().totalTokens());
   }
 
+  private SendEstimate estimate(
+      DispatchState state,
+      ActiveRequest active,
+      InstanceView view,
+      InstanceLoad addedLoad,
+      MonotonicTime time) {
+    boolean prompt =
+        active.request().work().isPresent() && cacheTokens(state, active.service()) > 0;
+    return prompt
+        ? SendEstimate.ofPrompt(
+            settings.prefillTokensPerMillisecond(), view.totalLoad(), addedLoad, time)
+        : SendEstimate.ofPlain(active, view, time);
+  }
+
   private static long cacheTokens(DispatchState state, String service) {
     return state
         .catalogue()
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
@@ -0,0 +1,80 @@
+package org.parsleyhead.core.dispatch;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.parsleyhead.core.api.MonotonicTime;
+
+/**
+ * What an instance has reported about itself, and how far it is believed.
+ *
+ * <p>Immutable and thread-safe. An instance that has reported nothing has the usual pace and no
+ * estimated load, whatever this host observes.
+ *
+ * @param load the newest reported load; empty if the instance has reported none
+ * @param pace the estimated pace
+ */
+record ServerCondition(Optional<ToldLoad> load, ServerPace pace) {
+
+  static final ServerCondition UNREPORTED = new ServerCondition(Optional.empty(), ServerPace.USUAL);
+
+  boolean reported() {
+    return load.isPresent();
+  }
+
+  /** Returns the estimated pace; 1 if the instance has reported nothing. */
+  double paceAt(MonotonicTime time) {
+    return reported() ? pace.at(time) : 1;
+  }
+
+  /**
+   * Returns the condition after a response.
+   *
+   * @param report what it states; empty if it states nothing
+   * @param ownRunning the requests of this host at the instance
+   * @param measured the time it took compared with what was expected at the usual pace
+   * @param floor the lowest pace that such a response can show
+   */
+  ServerCondition withResponse(
+      Optional<ReportedLoad> report,
+      int ownRunning,
+      OptionalDouble measured,
+      double floor,
+      MonotonicTime time) {
+    if (report.isEmpty()) {
+      return reported()
+          ? new ServerCondition(
+              load, pace.withResponse(OptionalDouble.empty(), Duration.ZERO, measured, floor, time))
+          : this;
+    }
+    ReportedLoad newest = report.get();
+    ToldLoad told =
+        load.map(known -> known.withReport(newest, ownRunning, time))
+            .orElseGet(() -> ToldLoad.first(newest, ownRunning, time));
+    return new ServerCondition(
+        Optional.of(told), pace.withResponse(newest.pace(), newest.age(), measured, floor, time));
+  }
+
+  /** Returns the condition after a response has contradicted or confirmed the reported load. */
+  ServerCondition withEvidence(boolean contradicted) {
+    return new ServerCondition(load.map(told -> told.withEvidence(contradicted)), pace);
+  }
+
+  /** Returns the values that decisions depend on, for the log; empty if nothing was reported. */
+  String inputs(MonotonicTime time) {
+    return load.map(
+            told ->
+                String.format(
+                    Locale.ROOT,
+                    " told=%d,%d,%d told_age_ms=%d load_trust=%.2f pace=%.2f pace_trust=%.2f",
+                    told.report().running(),
+                    told.report().waiting(),
+                    told.report().slots(),
+                    time.since(told.reportedAt()).toMillis(),
+                    told.trust(),
+                    pace.at(time),
+                    pace.trust()))
+        .orElse("");
+  }
+}
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.parsleyhead.core.dispatch.ReportedLoad;
 
 /**
  * The head of an instance's response.
@@ -14,6 +15,7 @@
  * @param stamped whether it carries the stamp of an instance
  * @param leaving whether the instance states that it is about to leave
  * @param refusesFor how long the instance wants no further requests; empty if it does not say
+ * @param load the load that the instance reports; empty if it reports none
  */
 public record ResponseHead(
     Optional<String> requestIdentifier,
@@ -21,7 +23,19 @@
     boolean misdirected,
     boolean stamped,
     boolean leaving,
-    Optional<Duration> refusesFor) {
+    Optional<Duration> refusesFor,
+    Optional<ReportedLoad> load) {
+
+  /** Creates the head of a response that reports no load. */
+  public ResponseHead(
+      Optional<String> requestIdentifier,
+      boolean notRun,
+      boolean misdirected,
+      boolean stamped,
+      boolean leaving,
+      Optional<Duration> refusesFor) {
+    this(requestIdentifier, notRun, misdirected, stamped, leaving, refusesFor, Optional.empty());
+  }
 
   /** Returns whether the instance says something about requests to come. */
   public boolean hasNotice() {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -17,6 +17,7 @@
 import org.parsleyhead.core.dispatch.AttemptResult;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchEvent;
+import org.parsleyhead.core.dispatch.ReportedLoad;
 import org.parsleyhead.core.dispatch.ResponseStage;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.api.ResponseHead;
@@ -50,6 +51,8 @@
   private UpstreamConnection connection;
   private HttpResponse response;
   private ResponseHead responseHead;
+  private Optional<ReportedLoad> reportedLoad = Optional.empty();
+  private long headReceivedAt;
   private boolean ignoringResponse;
   private boolean connectionFailed;
   private boolean cancelled;
@@ -88,6 +91,18 @@
     return log;
   }
 
+  /**
+   * Returns the load that the response reports, with its age; empty if it reports none or the load
+   * was taken before. The load of a misdirected response may be that of another instance.
+   */
+  Optional<ReportedLoad> takeReportedLoad() {
+    Optional<ReportedLoad> taken =
+        reportedLoad.map(
+            load -> load.withAge(Duration.ofNanos(System.nanoTime() - headReceivedAt)));
+    reportedLoad = Optional.empty();
+    return taken;
+  }
+
   /** Writes the request to a connection. */
   void write(UpstreamConnection connected) {
     connection = connected;
@@ -204,6 +219,8 @@
     UnansweredByteLimit.responseStarted(connection.channel());
     response = head;
     responseHead = parsed;
+    headReceivedAt = System.nanoTime();
+    reportedLoad = parsed.misdirected() ? Optional.empty() : parsed.load();
     if (parsed.hasNotice()) {
       listener.accept(
           new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
@@ -275,7 +292,8 @@
       return;
     }
     if (!stream.started()) {
-      listener.accept(new DispatchEvent.ResponseStarted(requestKey(), attemptNumber()));
+      listener.accept(
+          new DispatchEvent.ResponseStarted(requestKey(), attemptNumber(), takeReportedLoad()));
       log.event("first_event");
     }
     exchange.startStream(response.status(), dialect.callerHeaders(response));
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamClient.java
@@ -161,7 +161,8 @@
         attempt.log().ended(result);
       }
       listener.accept(
-          new DispatchEvent.AttemptEnded(attempt.requestKey(), attempt.attemptNumber(), result));
+          new DispatchEvent.AttemptEnded(
+              attempt.requestKey(), attempt.attemptNumber(), result, attempt.takeReportedLoad()));
     }
   }
 }
