--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -24,7 +24,7 @@
 
 /**
  * The message types for gateway hosts, which operate without a published host list, codes 102 to
- * 119. The codes 100, 101 and 103 belonged to former encodings.
+ * 119. The codes 100 to 103 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -49,7 +49,7 @@
               FleetMessageTypes::writeLoadRequest,
               FleetMessageTypes::readLoadRequest),
           new MessageType<>(
-              116,
+              117,
               LoadAnswer.class,
               FleetMessageTypes::writeLoadAnswer,
               FleetMessageTypes::readLoadAnswer),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -33,7 +33,14 @@
         withLoadedAdapter(
             state
                 .instances()
-                .update(instance, view -> view.withOwnLoad(view.ownLoad().minus(processed))),
+                .update(
+                    instance,
+                    view ->
+                        ResponseReports.started(
+                            view.withOwnLoad(view.ownLoad().minus(processed)),
+                            active,
+                            started.load(),
+                            time)),
             active,
             time);
     return quarantine.answered(
@@ -68,17 +75,21 @@
       return Step.of(state);
     }
     if (ended.result().outcome() == AttemptOutcome.WITHDRAWN) {
-      return onCurrentAttemptEnded(state, active, ended.result(), time);
+      return onCurrentAttemptEnded(state, active, ended, time);
     }
     DispatchState returned = RequestRetries.refund(state, active);
-    return onCurrentAttemptEnded(
-        returned, returned.requests().get(active.key()), ended.result(), time);
+    return onCurrentAttemptEnded(returned, returned.requests().get(active.key()), ended, time);
   }
 
   private Step<DispatchState, DispatchEffect> onCurrentAttemptEnded(
-      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
+      DispatchState state,
+      ActiveRequest active,
+      DispatchEvent.AttemptEnded ended,
+      MonotonicTime time) {
+    AttemptResult result = ended.result();
     DispatchState updated =
-        withOutcome(RequestCompletion.withoutAddedLoad(state, active), active, result, time);
+        withOutcome(
+            RequestCompletion.withoutAddedLoad(state, active), active, result, ended.load(), time);
     if (result.outcome() == AttemptOutcome.COMPLETED) {
       return quarantine
           .answered(updated.withoutRequest(active.key()), active, time)
@@ -148,19 +159,28 @@
   }
 
   private DispatchState withOutcome(
-      DispatchState state, ActiveRequest active, AttemptResult result, MonotonicTime time) {
+      DispatchState state,
+      ActiveRequest active,
+      AttemptResult result,
+      Optional<ReportedLoad> load,
+      MonotonicTime time) {
     Optional<ModelWork> work = active.request().work();
     String instance = active.progress().instance().orElseThrow();
     boolean adapterMissing = work.isPresent() && result.outcome() == AttemptOutcome.MISDIRECTED;
+    InstanceTable reported =
+        state
+            .instances()
+            .update(
+                instance,
+                view -> ResponseReports.ended(view, active, result.outcome(), load, time));
     return state.withInstances(
         adapterMissing
             ? dispatcher
                 .loads()
                 .times()
-                .withRejection(state.instances(), instance, work.get().adapter(), time)
-            : state
-                .instances()
-                .update(instance, view -> view.withHealth(health(view.health(), result, time))));
+                .withRejection(reported, instance, work.get().adapter(), time)
+            : reported.update(
+                instance, view -> view.withHealth(health(view.health(), result, time))));
   }
 
   private static InstanceHealth health(
