Store rollback: the copy of the published items compares eras before revisions

Cause: a store restored from a copy assigns revisions again. The copy compared revisions alone, so it kept items of the former era as newer, took reused revisions as known, and reverted or deleted what the restored copy lacked.

A higher era starts a listing; what was in force remains so until the new era shows something newer or the confirmation time (15 s) ends. Heartbeats and updates get new message codes.

--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -23,8 +23,8 @@
 import org.parsleyhead.core.publication.PublishedItem;
 
 /**
- * The message types for gateway hosts, which operate without a published host list, codes 102 to
- * 107. The codes 100 and 101 belonged to former encodings.
+ * The message types for gateway hosts, which operate without a published host list, codes 102, 103,
+ * 107 and 109 to 112. The other codes from 100 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -34,7 +34,7 @@
   public static final List<MessageType<?>> TYPES =
       List.of(
           new MessageType<>(
-              106,
+              110,
               Heartbeat.class,
               FleetMessageTypes::writeHeartbeat,
               FleetMessageTypes::readHeartbeat),
@@ -54,14 +54,18 @@
               FleetMessageTypes::writeLoadAnswer,
               FleetMessageTypes::readLoadAnswer),
           new MessageType<>(
-              104,
+              111,
               PublicationUpdateRequest.class,
               (message, packer) ->
-                  packer.packString(message.endpoint()).packLong(message.afterRevision()),
+                  packer
+                      .packString(message.endpoint())
+                      .packLong(message.era())
+                      .packLong(message.afterRevision()),
               unpacker ->
-                  new PublicationUpdateRequest(unpacker.unpackString(), unpacker.unpackLong())),
+                  new PublicationUpdateRequest(
+                      unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong())),
           new MessageType<>(
-              108,
+              112,
               PublicationUpdate.class,
               FleetMessageTypes::writeUpdate,
               FleetMessageTypes::readUpdate),
@@ -75,6 +79,7 @@
         .packLong(message.nonce())
         .packString(message.endpoint())
         .packBoolean(message.leaving())
+        .packLong(message.era())
         .packLong(message.revision())
         .packLong(message.highestFence())
         .packBoolean(message.membershipKnown());
@@ -105,6 +110,7 @@
     long nonce = unpacker.unpackLong();
     String endpoint = unpacker.unpackString();
     boolean leaving = unpacker.unpackBoolean();
+    long era = unpacker.unpackLong();
     long revision = unpacker.unpackLong();
     long highestFence = unpacker.unpackLong();
     final boolean membershipKnown = unpacker.unpackBoolean();
@@ -129,6 +135,7 @@
         nonce,
         endpoint,
         leaving,
+        era,
         revision,
         highestFence,
         membershipKnown,
@@ -194,7 +201,7 @@
 
   private static void writeUpdate(PublicationUpdate message, MessagePacker packer)
       throws IOException {
-    packer.packLong(message.afterRevision()).packLong(message.revision());
+    packer.packLong(message.era()).packLong(message.afterRevision()).packLong(message.revision());
     packer.packArrayHeader(message.items().size());
     for (PublishedItem item : message.items()) {
       packer.packString(item.key()).packLong(item.revision());
@@ -206,6 +213,7 @@
   }
 
   private static PublicationUpdate readUpdate(MessageUnpacker unpacker) throws IOException {
+    final long era = unpacker.unpackLong();
     final long afterRevision = unpacker.unpackLong();
     final long revision = unpacker.unpackLong();
     int size = unpacker.unpackArrayHeader();
@@ -215,9 +223,9 @@
       long itemRevision = unpacker.unpackLong();
       Optional<String> value =
           unpacker.unpackBoolean() ? Optional.of(unpacker.unpackString()) : Optional.empty();
-      items.add(new PublishedItem(key, itemRevision, value));
+      items.add(new PublishedItem(key, era, itemRevision, value));
     }
-    return new PublicationUpdate(items, afterRevision, revision);
+    return new PublicationUpdate(era, items, afterRevision, revision);
   }
 
   private static void writeReport(AdapterReport report, MessagePacker packer) throws IOException {
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FakeFleetNetwork.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FakeFleetNetwork.java
@@ -201,7 +201,7 @@
     }
 
     void tick() {
-      apply(new FleetEvent.Tick(now / 1_000_000, 1, Map.of(), Map.of(), Map.of()));
+      apply(new FleetEvent.Tick(now / 1_000_000, 0, 1, Map.of(), Map.of(), Map.of()));
       schedule(TICK.toNanos(), this::tick);
     }
 
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -42,6 +42,7 @@
             1,
             "10.0.0.1:9",
             true,
+            11,
             2,
             3,
             true,
@@ -59,11 +60,12 @@
         new HeartbeatAnswer(1, "10.0.0.1:9", 2, false, List.of("i-1")),
         new LoadRequest("10.0.0.1:9", "i-1", ADAPTER),
         new LoadAnswer("i-1", ADAPTER, false, 0, "no_slot"),
-        new PublicationUpdateRequest("10.0.0.1:9", 3),
+        new PublicationUpdateRequest("10.0.0.1:9", 2, 3),
         new PublicationUpdate(
+            2,
             List.of(
-                new PublishedItem("servers/a", 4, Optional.of("{}")),
-                new PublishedItem("servers/b", 5, Optional.empty())),
+                new PublishedItem("servers/a", 2, 4, Optional.of("{}")),
+                new PublishedItem("servers/b", 2, 5, Optional.empty())),
             3,
             5),
         new QuarantineReport(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEvent.java
@@ -75,8 +75,9 @@
    *
    * @param wallClockMilliseconds the wall-clock time in milliseconds since 1970, for fencing
    *     numbers
-   * @param revision the revision up to which this host has read the data that the platform
-   *     publishes
+   * @param era the era of the store that this host knows; 0 if the store states none
+   * @param revision the revision of that era up to which this host has read the data that the
+   *     platform publishes
    * @param admittedUnits the units that this host has admitted since its start, by limited client
    *     account
    * @param loads the unfinished work that this host has at each instance
@@ -84,6 +85,7 @@
    */
   record Tick(
       long wallClockMilliseconds,
+      long era,
       long revision,
       Map<String, Double> admittedUnits,
       Map<String, InstanceLoad> loads,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeat.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeat.java
@@ -17,7 +17,9 @@
  * @param nonce the number of the heartbeat, repeated in its answer
  * @param endpoint the endpoint at which the sender receives messages
  * @param leaving whether the sender is about to stop
- * @param revision the revision up to which the sender has read the data that the platform publishes
+ * @param era the era of the store that the sender knows; 0 if the store states none
+ * @param revision the revision of that era up to which the sender has read the data that the
+ *     platform publishes
  * @param highestFence the highest fencing number that the sender has observed
  * @param membershipKnown whether the sender knows the members of the fleet, or its discovery
  *     deadline has passed
@@ -40,6 +42,7 @@
     long nonce,
     String endpoint,
     boolean leaving,
+    long era,
     long revision,
     long highestFence,
     boolean membershipKnown,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
@@ -78,6 +78,7 @@
               local.lastNonce(),
               settings.self(),
               local.leaving(),
+              tick.era(),
               tick.revision(),
               local.highestFence(),
               membershipKnown,
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/PublicationUpdateRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/PublicationUpdateRequest.java
@@ -8,7 +8,8 @@
  * <p>Immutable and thread-safe.
  *
  * @param endpoint the endpoint at which the sender receives messages
+ * @param era the era of the store that the sender knows
  * @param afterRevision the revision up to which the sender is complete
  */
-public record PublicationUpdateRequest(String endpoint, long afterRevision)
+public record PublicationUpdateRequest(String endpoint, long era, long afterRevision)
     implements PeerMessage {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
@@ -37,15 +37,71 @@
    * Sends items to another host.
    *
    * @param host the other host
+   * @param era the era of the store to which the revisions belong
    * @param items the items that changed after a revision
    * @param afterRevision that revision; 0 for all items, so that what they lack has been deleted
    * @param revision the revision up to which they are complete; 0 if this host does not know
    */
-  record SendUpdate(String host, List<PublishedItem> items, long afterRevision, long revision)
+  record SendUpdate(
+      String host, long era, List<PublishedItem> items, long afterRevision, long revision)
       implements PublicationEffect {}
 
-  /** Requests the items that changed after a revision from another host. */
-  record RequestUpdate(String host, long afterRevision) implements PublicationEffect {}
+  /** Requests the items that changed after a revision of an era from another host. */
+  record RequestUpdate(String host, long era, long afterRevision) implements PublicationEffect {}
+
+  /**
+   * Reports that the store was restored from a copy.
+   *
+   * @param source where this host learned of it
+   * @param formerEra the era that was known before
+   * @param era the era from now on
+   * @param formerRevision the revision up to which the copy was complete in the former era
+   * @param formerItems the number of items that remain in force until the store shows newer ones
+   */
+  record EraIncreased(String source, long formerEra, long era, long formerRevision, int formerItems)
+      implements PublicationEffect {}
+
+  /**
+   * Reports an answer or an update that was dropped because its era is lower than the known one.
+   *
+   * @param source where it comes from
+   * @param era its era
+   * @param knownEra the known era
+   */
+  record EraLower(String source, long era, long knownEra) implements PublicationEffect {}
+
+  /**
+   * Reports items of the store that are not in force because they may be, or are, older than what
+   * was in force when the era increased.
+   *
+   * @param keys their keys
+   * @param source where they come from
+   * @param era the era of the store
+   */
+  record Outdated(List<String> keys, String source, long era) implements PublicationEffect {
+
+    /** Copies the list. */
+    public Outdated {
+      keys = List.copyOf(keys);
+    }
+  }
+
+  /**
+   * Reports the end of the confirmation time.
+   *
+   * @param era the era of the store
+   * @param deleted the keys that were not written again and count as deleted
+   * @param replaced the number of items that the store's items replaced at the end
+   * @param outdated the number of items of the store that remain ignored
+   */
+  record EraConfirmed(long era, List<String> deleted, int replaced, int outdated)
+      implements PublicationEffect {
+
+    /** Copies the list. */
+    public EraConfirmed {
+      deleted = List.copyOf(deleted);
+    }
+  }
 
   /**
    * Reports that the platform became unreachable, or that it answers again.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationSettings.java
@@ -23,6 +23,9 @@
  *     to others reads from the platform itself, and the interval of its reads
  * @param silenceReportDelay the time without an answer after which the platform is reported as
  *     silent; servers announce themselves more often than this
+ * @param confirmationTime how long an item that a restored store lacks, or shows with other
+ *     contents, remains in force after the era of the store increased; operators and servers write
+ *     again within it what the restored copy lacks
  */
 public record PublicationSettings(
     Duration batchDelay,
@@ -32,7 +35,8 @@
     Duration answerDelay,
     Duration peerUpdateDelay,
     Duration nonReaderTimeout,
-    Duration silenceReportDelay) {
+    Duration silenceReportDelay,
+    Duration confirmationTime) {
 
   /** The timing of a gateway host. */
   public static final PublicationSettings DEFAULT =
@@ -44,5 +48,6 @@
           Duration.ofMillis(300),
           Duration.ofMillis(400),
           Duration.ofMillis(2_500),
-          Duration.ofMillis(1_000));
+          Duration.ofMillis(1_000),
+          Duration.ofSeconds(15));
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationState.java
@@ -11,8 +11,10 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param items all known items by key, deletions included
- * @param revision the revision up to which the copy is complete; 0 before the first listing
+ * @param storeEra the era of the store, and what remains in force of former eras
+ * @param items all known items of that era by key, deletions included
+ * @param revision the revision of that era up to which the copy is complete; 0 before the first
+ *     listing of the era
  * @param deletionsKnownFrom the revision after which the copy holds each deletion; a listing shows
  *     no deletions, so it is the revision of the last one
  * @param reader whether this host reads from the platform itself
@@ -22,6 +24,7 @@
  * @param revisionAdvancedAt when the revision last increased
  */
 public record PublicationState(
+    StoreEra storeEra,
     PMap<String, PublishedItem> items,
     long revision,
     long deletionsKnownFrom,
@@ -33,11 +36,28 @@
   /** Returns the state of a host that has not read anything yet. */
   public static PublicationState initial(MonotonicTime time) {
     return new PublicationState(
-        HashTreePMap.empty(), 0, 0, true, StoreReads.startedAt(time), Optional.empty(), time);
+        StoreEra.UNKNOWN,
+        HashTreePMap.empty(),
+        0,
+        0,
+        true,
+        StoreReads.startedAt(time),
+        Optional.empty(),
+        time);
   }
 
-  /** Returns whether the copy has been complete up to some revision. */
+  /** Returns the era of the store; 0 if the store states none. */
+  public long era() {
+    return storeEra.number();
+  }
+
+  /** Returns whether the copy has been complete up to some revision, of any era. */
   public boolean initialized() {
+    return complete() || storeEra.formerlyComplete();
+  }
+
+  /** Returns whether the copy has been complete up to some revision of the current era. */
+  boolean complete() {
     return revision > 0;
   }
 
@@ -46,13 +66,60 @@
     return reads.answeredAt();
   }
 
+  /**
+   * Returns the state after the era increased: nothing is known of its items, and everything that
+   * was in force remains so until the new era replaces it.
+   *
+   * @param next the reads of the new era
+   */
+  PublicationState withEra(long era, int firstRead, StoreReads next, MonotonicTime time) {
+    return new PublicationState(
+        storeEra.increased(era, firstRead, items, complete(), time),
+        HashTreePMap.empty(),
+        0,
+        0,
+        reader,
+        next,
+        Optional.empty(),
+        time);
+  }
+
+  /**
+   * Returns whether the copy was complete at some instant not before the given one: a watch was
+   * answered since, or the revision has increased since.
+   */
+  boolean readSince(MonotonicTime since) {
+    boolean watched = reads.listing().isEmpty() && !answeredAt().isBefore(since);
+    return watched || !revisionAdvancedAt.isBefore(since);
+  }
+
+  PublicationState withStoreEra(StoreEra next) {
+    return new PublicationState(
+        next,
+        items,
+        revision,
+        deletionsKnownFrom,
+        reader,
+        reads,
+        peerAheadSince,
+        revisionAdvancedAt);
+  }
+
   PublicationState withItems(PMap<String, PublishedItem> next) {
     return new PublicationState(
-        next, revision, deletionsKnownFrom, reader, reads, peerAheadSince, revisionAdvancedAt);
+        storeEra,
+        next,
+        revision,
+        deletionsKnownFrom,
+        reader,
+        reads,
+        peerAheadSince,
+        revisionAdvancedAt);
   }
 
   PublicationState withRevision(long next) {
     return new PublicationState(
+        next > 0 ? storeEra.withCompleteTo(next) : storeEra,
         items,
         Math.max(revision, next),
         deletionsKnownFrom,
@@ -64,6 +131,7 @@
 
   PublicationState withDeletionsKnownFrom(long next) {
     return new PublicationState(
+        storeEra,
         items,
         revision,
         Math.max(deletionsKnownFrom, next),
@@ -75,11 +143,19 @@
 
   PublicationState withReader(boolean next) {
     return new PublicationState(
-        items, revision, deletionsKnownFrom, next, reads, peerAheadSince, revisionAdvancedAt);
+        storeEra,
+        items,
+        revision,
+        deletionsKnownFrom,
+        next,
+        reads,
+        peerAheadSince,
+        revisionAdvancedAt);
   }
 
   PublicationState withReads(UnaryOperator<StoreReads> change) {
     return new PublicationState(
+        storeEra,
         items,
         revision,
         deletionsKnownFrom,
@@ -91,11 +167,11 @@
 
   PublicationState withRevisionAdvancedAt(MonotonicTime time) {
     return new PublicationState(
-        items, revision, deletionsKnownFrom, reader, reads, peerAheadSince, time);
+        storeEra, items, revision, deletionsKnownFrom, reader, reads, peerAheadSince, time);
   }
 
   PublicationState withPeerAheadSince(Optional<MonotonicTime> next) {
     return new PublicationState(
-        items, revision, deletionsKnownFrom, reader, reads, next, revisionAdvancedAt);
+        storeEra, items, revision, deletionsKnownFrom, reader, reads, next, revisionAdvancedAt);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -22,6 +22,10 @@
  * <p>Immutable and thread-safe. For each key the item with the highest revision wins, so that a
  * stale read or an old update never reverts a newer change.
  *
+ * <p>When the era of the store increases, the store was restored from a copy: all items are listed
+ * again, and what was in force remains so until the new era shows something newer or the
+ * confirmation time ends ({@link FormerItem}).
+ *
  * <p>A connection can go silent without an error, for all hosts at one moment. A reader therefore
  * has a read answered within the timeout of a watch and the answer delay, or starts another one on
  * a new connection; the answer of a watch is taken whenever it comes, since what it holds remains
@@ -31,23 +35,77 @@
     implements Transition<PublicationState, PublicationEvent, PublicationEffect> {
 
   private final PublicationSettings settings;
+  private final ItemVersions versions;
 
-  /** Creates the transition with the given settings. */
-  public PublicationTransition(PublicationSettings settings) {
+  /**
+   * Creates the transition.
+   *
+   * @param settings the timing
+   * @param versions reads the versions of items, which a restored store does not set back
+   */
+  public PublicationTransition(PublicationSettings settings, ItemVersions versions) {
     this.settings = Preconditions.requireNonNull(settings, "settings");
+    this.versions = Preconditions.requireNonNull(versions, "versions");
   }
 
   @Override
   public Step<PublicationState, PublicationEffect> apply(
       PublicationState state, PublicationEvent event, MonotonicTime time) {
     Step<PublicationState, PublicationEffect> step = decide(state, event, time);
-    return step.state().revision() > state.revision()
-        ? new Step<>(step.state().withRevisionAdvancedAt(time), step.effects())
-        : step;
+    boolean advanced =
+        step.state().era() == state.era() && step.state().revision() > state.revision();
+    return advanced ? new Step<>(step.state().withRevisionAdvancedAt(time), step.effects()) : step;
   }
 
   private Step<PublicationState, PublicationEffect> decide(
       PublicationState state, PublicationEvent event, MonotonicTime time) {
+    if (event instanceof PublicationEvent.StoreAnswer answer) {
+      return storeAnswered(state, answer, time);
+    }
+    return event instanceof PublicationEvent.ReadFailed failed
+            && failed.readNumber() == state.reads().readNumber()
+        ? readFailed(state, failed.reason(), time)
+        : decideOther(state, event, time);
+  }
+
+  private Step<PublicationState, PublicationEffect> storeAnswered(
+      PublicationState state, PublicationEvent.StoreAnswer answer, MonotonicTime time) {
+    boolean current = answer.readNumber() == state.reads().readNumber();
+    if (answer.era() < state.era()) {
+      PublicationEffect lower = new PublicationEffect.EraLower("store", answer.era(), state.era());
+      return current && state.reads().startedAt().isPresent()
+          ? Step.of(state, lower).andThen(next -> readFailed(next, "lower era", time))
+          : Step.of(state, lower);
+    }
+    if (answer.era() > state.era()) {
+      boolean firstPage =
+          current
+              && answer instanceof PublicationEvent.PageRead
+              && state.reads().listing().filter(StoreReads.Listing.START::equals).isPresent();
+      return firstPage
+          ? increaseEra(state, answer.era(), "listing", state.reads(), time)
+              .andThen(next -> takeAnswer(next, answer, time))
+          : increaseEra(state, answer.era(), "store", state.reads().withNewEra(time), time)
+              .andThen(next -> markAnswered(next, time))
+              .andThen(next -> startRead(next, time));
+    }
+    return answer.readNumber() < state.storeEra().firstRead()
+        ? Step.of(state)
+        : takeAnswer(state, answer, time);
+  }
+
+  /** Returns the state in which nothing of a higher era is known yet. */
+  private static Step<PublicationState, PublicationEffect> increaseEra(
+      PublicationState state, long era, String source, StoreReads reads, MonotonicTime time) {
+    PublicationState next = state.withEra(era, reads.readNumber(), reads, time);
+    return Step.of(
+        next,
+        new PublicationEffect.EraIncreased(
+            source, state.era(), era, state.revision(), next.storeEra().former().size()));
+  }
+
+  private Step<PublicationState, PublicationEffect> takeAnswer(
+      PublicationState state, PublicationEvent.StoreAnswer event, MonotonicTime time) {
     if (event instanceof PublicationEvent.PageRead page
         && page.readNumber() == state.reads().readNumber()) {
       return markAnswered(state, time).andThen(next -> pageRead(next, page, time));
@@ -60,15 +118,16 @@
       PublicationState relisting = state.withReads(reads -> reads.withNewListing(time));
       return markAnswered(relisting, time).andThen(next -> startRead(next, time));
     }
-    if (event instanceof PublicationEvent.ReadFailed failed
-        && failed.readNumber() == state.reads().readNumber()) {
-      return readFailed(state, failed.reason(), time);
-    }
+    return Step.of(state);
+  }
+
+  private Step<PublicationState, PublicationEffect> decideOther(
+      PublicationState state, PublicationEvent event, MonotonicTime time) {
     if (event instanceof PublicationEvent.PeerRevision peer) {
       return peerRevision(state, peer, time);
     }
     if (event instanceof PublicationEvent.UpdateRequested request) {
-      return Step.of(state, updateFor(state, request));
+      return updateRequested(state, request, time);
     }
     if (event instanceof PublicationEvent.UpdateReceived received) {
       return updateReceived(state, received, time);
@@ -83,6 +142,7 @@
       PublicationState state, MonotonicTime time) {
     return reportSilence(state, time)
         .andThen(next -> endOverdueRead(next, time))
+        .andThen(next -> endConfirmation(next, time))
         .andThen(next -> startRead(next, time));
   }
 
@@ -225,20 +285,23 @@
         reachable, reason, state.reads().silence(time), state.revision());
   }
 
-  private static Step<PublicationState, PublicationEffect> merge(
+  private Step<PublicationState, PublicationEffect> merge(
       PublicationState state,
       List<PublishedItem> items,
       String source,
       MergeRule rule,
       MonotonicTime time) {
     PMap<String, PublishedItem> next = state.items();
+    EraMerge eras = new EraMerge(state.storeEra(), versions);
     Map<String, PublishedItem> changed = new LinkedHashMap<>();
     List<PublishedItem> ignored = new ArrayList<>();
     for (PublishedItem item : items) {
       Optional<PublishedItem> known = Optional.ofNullable(next.get(item.key()));
       if (rule.accepts(known, item)) {
         next = next.plus(item.key(), item);
-        changed.put(item.key(), item);
+        if (eras.takes(known, item)) {
+          changed.put(item.key(), item);
+        }
       } else if (known.isEmpty()) {
         ignored.add(item);
       }
@@ -247,12 +310,40 @@
     if (!ignored.isEmpty()) {
       effects.add(new PublicationEffect.Ignored(ignored, source, state.revision()));
     }
+    if (!eras.outdated().isEmpty()) {
+      effects.add(new PublicationEffect.Outdated(eras.outdated(), source, state.era()));
+    }
     if (!changed.isEmpty()) {
       effects.add(
           new PublicationEffect.Changed(
               List.copyOf(changed.values()), source, state.reads().silence(time)));
     }
-    return new Step<>(changed.isEmpty() ? state : state.withItems(next), effects);
+    return new Step<>(
+        next == state.items() ? state : state.withItems(next).withStoreEra(eras.result()), effects);
+  }
+
+  /** Ends the confirmation time once the copy is known to be complete up to its end. */
+  private Step<PublicationState, PublicationEffect> endConfirmation(
+      PublicationState state, MonotonicTime time) {
+    Optional<MonotonicTime> end =
+        state.storeEra().increasedAt().map(at -> at.plus(settings.confirmationTime()));
+    boolean due = end.isPresent() && state.complete() && state.readSince(end.get());
+    if (!due) {
+      return Step.of(state);
+    }
+    EraMerge eras = new EraMerge(state.storeEra(), versions);
+    List<PublishedItem> changed = eras.confirm(state.items(), state.revision());
+    List<PublicationEffect> effects = new ArrayList<>();
+    if (!changed.isEmpty()) {
+      effects.add(
+          new PublicationEffect.Changed(changed, "confirmation", state.reads().silence(time)));
+    }
+    List<String> deleted =
+        changed.stream().filter(item -> item.value().isEmpty()).map(PublishedItem::key).toList();
+    effects.add(
+        new PublicationEffect.EraConfirmed(
+            state.era(), deleted, changed.size() - deleted.size(), eras.result().former().size()));
+    return new Step<>(state.withStoreEra(eras.result()), effects);
   }
 
   /** Decides whether an item replaces what the copy holds for its key. */
@@ -268,8 +359,8 @@
   private static MergeRule changed(PublicationState state) {
     return (known, item) ->
         known.isEmpty()
-            ? !state.initialized() || item.revision() > state.revision()
-            : known.get().revision() < item.revision();
+            ? !state.complete() || item.revision() > state.revision()
+            : item.isNewerThan(known.get());
   }
 
   /**
@@ -292,47 +383,81 @@
         .filter(item -> item.value().isPresent())
         .filter(item -> item.revision() < revision)
         .filter(item -> !keys.contains(item.key()))
-        .map(item -> new PublishedItem(item.key(), revision, Optional.empty()))
+        .map(item -> new PublishedItem(item.key(), state.era(), revision, Optional.empty()))
         .toList();
   }
 
   private Step<PublicationState, PublicationEffect> peerRevision(
       PublicationState state, PublicationEvent.PeerRevision peer, MonotonicTime time) {
-    if (peer.revision() <= state.revision()) {
+    if (peer.era() > state.era()) {
+      return increaseEraFromPeer(state, peer.era(), peer.host(), time)
+          .andThen(next -> peerRevision(next, peer, time));
+    }
+    if (peer.era() < state.era() || peer.revision() <= state.revision()) {
       return Step.of(state);
     }
     MonotonicTime since = state.peerAheadSince().orElse(time);
     boolean requestUpdate =
         !state.reader()
-            || !state.initialized()
+            || !state.complete()
             || time.since(since).compareTo(settings.peerUpdateDelay()) >= 0;
     return requestUpdate
         ? Step.of(
             state.withPeerAheadSince(Optional.of(time)),
-            new PublicationEffect.RequestUpdate(peer.host(), state.revision()))
+            new PublicationEffect.RequestUpdate(peer.host(), state.era(), state.revision()))
         : Step.of(state.withPeerAheadSince(Optional.of(since)));
   }
 
+  /** Takes a higher era from another host; a reader lists the items of the store itself too. */
+  private Step<PublicationState, PublicationEffect> increaseEraFromPeer(
+      PublicationState state, long era, String host, MonotonicTime time) {
+    return increaseEra(state, era, "peer=" + host, state.reads().withNewEra(time), time)
+        .andThen(next -> startRead(next, time));
+  }
+
+  private Step<PublicationState, PublicationEffect> updateRequested(
+      PublicationState state, PublicationEvent.UpdateRequested request, MonotonicTime time) {
+    return request.era() > state.era()
+        ? increaseEraFromPeer(state, request.era(), request.host(), time)
+        : Step.of(state, updateFor(state, request));
+  }
+
   /**
    * Returns the update for another host. It holds the whole copy if this one lacks deletions that
-   * the other host may have missed too.
+   * the other host may have missed too, or if the other host knows only a former era.
    */
   private static PublicationEffect updateFor(
       PublicationState state, PublicationEvent.UpdateRequested request) {
     long afterRevision =
-        request.afterRevision() < state.deletionsKnownFrom() ? 0 : request.afterRevision();
+        request.era() < state.era() || request.afterRevision() < state.deletionsKnownFrom()
+            ? 0
+            : request.afterRevision();
     List<PublishedItem> items =
         state.items().values().stream()
             .filter(item -> item.revision() > afterRevision)
             .sorted(Comparator.comparingLong(PublishedItem::revision))
             .toList();
-    return new PublicationEffect.SendUpdate(request.host(), items, afterRevision, state.revision());
+    return new PublicationEffect.SendUpdate(
+        request.host(), state.era(), items, afterRevision, state.revision());
   }
 
   /** Merges an update from another host, whose whole copy is as good as a listing. */
-  private static Step<PublicationState, PublicationEffect> updateReceived(
+  private Step<PublicationState, PublicationEffect> updateReceived(
       PublicationState state, PublicationEvent.UpdateReceived update, MonotonicTime time) {
     String source = "peer=" + update.host();
+    if (update.era() < state.era()) {
+      return Step.of(state, new PublicationEffect.EraLower(source, update.era(), state.era()));
+    }
+    if (update.era() > state.era()) {
+      Step<PublicationState, PublicationEffect> increased =
+          increaseEraFromPeer(state, update.era(), update.host(), time)
+              .andThen(next -> updateReceived(next, update, time));
+      return increased.state().complete()
+          ? increased
+          : increased.andThen(
+              next ->
+                  Step.of(next, new PublicationEffect.RequestUpdate(update.host(), next.era(), 0)));
+    }
     long revision = update.revision();
     PublicationState current = state.withPeerAheadSince(Optional.empty());
     if (!update.wholeCopy()) {
@@ -361,7 +486,7 @@
    */
   private static PublicationState afterChanges(
       PublicationState state, PublicationEvent.UpdateReceived update) {
-    return state.initialized() && update.afterRevision() <= state.revision()
+    return state.complete() && update.afterRevision() <= state.revision()
         ? completeTo(state, update.revision())
         : state;
   }
--- /dev/null
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreEra.java
@@ -0,0 +1,101 @@
+package org.parsleyhead.core.publication;
+
+import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The era of the store, which increases whenever the store is restored from a copy, and what
+ * remains in force of former eras.
+ *
+ * <p>Immutable and thread-safe. Without an increase, no former item exists.
+ *
+ * @param number the era; 0 for a store that states none
+ * @param firstRead the number of the first read of this era; answers to earlier reads refer to
+ *     revisions of a former era
+ * @param firstRevision the revision up to which the copy was complete first in this era; what has a
+ *     higher revision was written in this era; 0 while the copy is not complete
+ * @param increasedAt when this host learned of the increase; empty if there was none, or if the
+ *     confirmation time has ended
+ * @param formerlyComplete whether the copy was complete in a former era
+ * @param former the items that the current era has not replaced, by key
+ * @param removed the last known versions of deleted items
+ */
+record StoreEra(
+    long number,
+    int firstRead,
+    long firstRevision,
+    Optional<MonotonicTime> increasedAt,
+    boolean formerlyComplete,
+    PMap<String, FormerItem> former,
+    RemovedItems removed) {
+
+  static final StoreEra UNKNOWN =
+      new StoreEra(0, 0, 0, Optional.empty(), false, HashTreePMap.empty(), RemovedItems.NONE);
+
+  /**
+   * Returns the next era.
+   *
+   * @param next its number
+   * @param read the number of its first read
+   * @param items the copy of the items in this era
+   * @param complete whether that copy is complete
+   */
+  StoreEra increased(
+      long next,
+      int read,
+      PMap<String, PublishedItem> items,
+      boolean complete,
+      MonotonicTime time) {
+    PMap<String, FormerItem> kept = former;
+    for (PublishedItem item : items.values()) {
+      if (item.value().isPresent() && !kept.containsKey(item.key())) {
+        kept = kept.plus(item.key(), FormerItem.present(item));
+      }
+    }
+    for (var removal : removed.byKey().entrySet()) {
+      if (!kept.containsKey(removal.getKey())) {
+        PublishedItem deletion = new PublishedItem(removal.getKey(), number, 0, Optional.empty());
+        kept =
+            kept.plus(removal.getKey(), FormerItem.removed(deletion, removal.getValue().version()));
+      }
+    }
+    return new StoreEra(
+        next,
+        read,
+        0,
+        kept.isEmpty() ? Optional.empty() : Optional.of(time),
+        formerlyComplete || complete,
+        kept,
+        removed);
+  }
+
+  /** Returns whether it is certain that an item was written in this era. */
+  boolean wrote(PublishedItem item) {
+    return firstRevision > 0 && item.revision() > firstRevision;
+  }
+
+  StoreEra withCompleteTo(long revision) {
+    return firstRevision > 0
+        ? this
+        : new StoreEra(number, firstRead, revision, increasedAt, formerlyComplete, former, removed);
+  }
+
+  StoreEra withFormer(PMap<String, FormerItem> next) {
+    return new StoreEra(
+        number, firstRead, firstRevision, increasedAt, formerlyComplete, next, removed);
+  }
+
+  StoreEra withRemoved(RemovedItems next) {
+    return next == removed
+        ? this
+        : new StoreEra(
+            number, firstRead, firstRevision, increasedAt, formerlyComplete, former, next);
+  }
+
+  StoreEra confirmed() {
+    return new StoreEra(
+        number, firstRead, firstRevision, Optional.empty(), formerlyComplete, former, removed);
+  }
+}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreReads.java
@@ -91,6 +91,22 @@
         silenceReported);
   }
 
+  /**
+   * Returns this progress after the era of the store increased: a listing from the start, which may
+   * begin at an instant, on another connection. No earlier read has the number of its first page.
+   */
+  StoreReads withNewEra(MonotonicTime next) {
+    return new StoreReads(
+        readNumber + 1,
+        connection + 1,
+        Optional.of(Listing.START),
+        Optional.of(next),
+        Optional.empty(),
+        reachable,
+        answeredAt,
+        silenceReported);
+  }
+
   StoreReads withAnswer(MonotonicTime time) {
     return new StoreReads(
         readNumber, connection, listing, nextReadAt, startedAt, true, time, false);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
@@ -59,7 +59,7 @@
     announce(1);
     for (int tick = 0; tick < UNTIL_CLAIMS.dividedBy(TICK); tick++) {
       now = now.plus(TICK);
-      apply(new FleetEvent.Tick(0, 1, Map.of(), Map.of(), Map.of()));
+      apply(new FleetEvent.Tick(0, 0, 1, Map.of(), Map.of(), Map.of()));
     }
   }
 
@@ -103,6 +103,7 @@
                 1,
                 PEER,
                 leaving,
+                0,
                 1,
                 0,
                 true,
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeFleet.java
@@ -190,7 +190,8 @@
       schedule(host.frozenUntil - now, () -> tick(host));
       return;
     }
-    host.apply(new FleetEvent.Tick(now / 1_000_000, 1, Map.of(), Map.of(), host.adapterRequests));
+    host.apply(
+        new FleetEvent.Tick(now / 1_000_000, 0, 1, Map.of(), Map.of(), host.adapterRequests));
     String instance = "i-" + random.nextInt(MODEL_SERVERS);
     AdapterKey adapter = new AdapterKey("base", "a" + random.nextInt(ADAPTERS));
     host.apply(new FleetEvent.LoadNeeded(instance, adapter));
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
@@ -45,7 +45,7 @@
     this.random = new Random(seed);
     this.loss = loss;
     this.settings = settings;
-    this.transition = new PublicationTransition(settings);
+    this.transition = new PublicationTransition(settings, FakeItemVersions::of);
     this.heartbeatInterval = Duration.ofMillis(size > READERS ? 500 : 300);
     for (int index = 0; index < size; index++) {
       start("host-" + index);
@@ -80,6 +80,21 @@
     hosts.get(name).running = false;
   }
 
+  /** Lets a host hear nothing from other hosts and the store; what is sent to it is lost. */
+  void isolate(String name, boolean isolated) {
+    hosts.get(name).isolated = isolated;
+  }
+
+  /** Returns what the duties of a host hold in force: the values by key. */
+  Map<String, String> inForce(String name) {
+    return Map.copyOf(hosts.get(name).inForce);
+  }
+
+  /** Returns the era that a host knows. */
+  long era(String name) {
+    return hosts.get(name).state.era();
+  }
+
   /** Suspends a host; what arrives meanwhile is delivered when it resumes. */
   void freeze(String name, Duration duration) {
     hosts.get(name).frozenUntil = now + duration.toNanos();
@@ -170,7 +185,10 @@
       host.apply(new PublicationEvent.ReaderRole(reader));
       for (Host other : hosts.values()) {
         if (other != host && (reader || readers.contains(other.name))) {
-          send(other.name, new PublicationEvent.PeerRevision(host.name, host.state.revision()));
+          send(
+              other.name,
+              new PublicationEvent.PeerRevision(
+                  host.name, host.state.era(), host.state.revision()));
         }
       }
     }
@@ -199,7 +217,9 @@
 
     private final String name;
     private PublicationState state;
+    private final Map<String, String> inForce = new LinkedHashMap<>();
     private boolean running = true;
+    private boolean isolated;
     private long frozenUntil;
 
     Host(String name) {
@@ -212,7 +232,7 @@
     }
 
     void apply(PublicationEvent event) {
-      if (!running) {
+      if (!running || isolated && !(event instanceof PublicationEvent.Tick)) {
         return;
       }
       if (now < frozenUntil) {
@@ -237,13 +257,21 @@
                     watch.afterRevision(),
                     instant -> instant >= expiresAt,
                     this::fromStore));
+      } else if (effect instanceof PublicationEffect.Changed changed) {
+        for (PublishedItem item : changed.items()) {
+          item.value()
+              .ifPresentOrElse(
+                  value -> inForce.put(item.key(), value), () -> inForce.remove(item.key()));
+        }
       } else if (effect instanceof PublicationEffect.SendUpdate update) {
         send(
             update.host(),
             new PublicationEvent.UpdateReceived(
-                name, update.items(), update.afterRevision(), update.revision()));
+                name, update.era(), update.items(), update.afterRevision(), update.revision()));
       } else if (effect instanceof PublicationEffect.RequestUpdate request) {
-        send(request.host(), new PublicationEvent.UpdateRequested(name, request.afterRevision()));
+        send(
+            request.host(),
+            new PublicationEvent.UpdateRequested(name, request.era(), request.afterRevision()));
       }
     }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakeStore.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakeStore.java
@@ -24,6 +24,7 @@
   private final List<Waiting> watches = new ArrayList<>();
   private long revision = 1;
   private long oldestRevision;
+  private long era;
   private int reads;
 
   private record Waiting(
@@ -48,7 +49,7 @@
   /** Writes or deletes an item and answers the watches. */
   PublishedItem change(String key, Optional<String> value) {
     revision++;
-    PublishedItem item = new PublishedItem(key, revision, value);
+    PublishedItem item = new PublishedItem(key, era, revision, value);
     if (value.isPresent()) {
       items.put(key, item);
     } else {
@@ -61,6 +62,26 @@
     return item;
   }
 
+  /** A copy of the store. Immutable and thread-safe. */
+  record Copy(Map<String, PublishedItem> items, long revision) {}
+
+  /** Returns a copy, from which the store can be restored. */
+  Copy copy() {
+    return new Copy(Map.copyOf(items), revision);
+  }
+
+  /** Restores a copy in the next era; open watches remain open. */
+  void rollBack(Copy copy) {
+    era++;
+    revision = copy.revision();
+    oldestRevision = revision;
+    history.clear();
+    items.clear();
+    for (PublishedItem item : copy.items().values()) {
+      items.put(item.key(), new PublishedItem(item.key(), era, item.revision(), item.value()));
+    }
+  }
+
   /** Drops the history; watches that need it are answered at once. */
   void dropHistory() {
     oldestRevision = revision;
@@ -77,7 +98,7 @@
     List<PublishedItem> page =
         items.tailMap(afterKey, false).values().stream().limit(PAGE_SIZE).toList();
     boolean more = !page.isEmpty() && items.higherKey(page.get(page.size() - 1).key()) != null;
-    listener.accept(new PublicationEvent.PageRead(readNumber, page, more, revision));
+    listener.accept(new PublicationEvent.PageRead(readNumber, era, page, more, revision));
   }
 
   void watch(
@@ -100,12 +121,13 @@
             waiting
                 .listener()
                 .accept(
-                    new PublicationEvent.WatchReturned(waiting.readNumber(), List.of(), revision)));
+                    new PublicationEvent.WatchReturned(
+                        waiting.readNumber(), era, List.of(), revision)));
   }
 
   private void answerWatch(Waiting waiting) {
-    if (waiting.afterRevision() < oldestRevision) {
-      waiting.listener().accept(new PublicationEvent.HistoryDropped(waiting.readNumber()));
+    if (waiting.afterRevision() < oldestRevision || waiting.afterRevision() > revision) {
+      waiting.listener().accept(new PublicationEvent.HistoryDropped(waiting.readNumber(), era));
       return;
     }
     List<PublishedItem> changes =
@@ -115,7 +137,7 @@
     } else {
       waiting
           .listener()
-          .accept(new PublicationEvent.WatchReturned(waiting.readNumber(), changes, revision));
+          .accept(new PublicationEvent.WatchReturned(waiting.readNumber(), era, changes, revision));
     }
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -23,9 +23,11 @@
           Duration.ofMillis(1500),
           Duration.ofMillis(400),
           Duration.ofMillis(2500),
-          Duration.ofMillis(1000));
+          Duration.ofMillis(1000),
+          Duration.ofSeconds(15));
 
-  private final PublicationTransition transition = new PublicationTransition(SETTINGS);
+  private final PublicationTransition transition =
+      new PublicationTransition(SETTINGS, ItemVersions.NONE);
   private MonotonicTime now = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(50));
   private PublicationState state = PublicationState.initial(now);
 
@@ -115,6 +117,7 @@
         apply(
             new PublicationEvent.UpdateReceived(
                 "peer",
+                0,
                 List.of(item("servers/a", 5, "ready"), item("servers/c", 21, "ready")),
                 9,
                 15));
@@ -142,7 +145,7 @@
         List.of(),
         apply(
             new PublicationEvent.UpdateReceived(
-                "peer", List.of(item("servers/a", 5, "ready")), 4, 10)));
+                "peer", 0, List.of(item("servers/a", 5, "ready")), 4, 10)));
   }
 
   @Test
@@ -151,7 +154,7 @@
     list(9, item("a", 8, "new"));
     assertEquals(
         List.of(),
-        apply(new PublicationEvent.UpdateReceived("peer", List.of(item("a", 7, "old")), 6, 7)));
+        apply(new PublicationEvent.UpdateReceived("peer", 0, List.of(item("a", 7, "old")), 6, 7)));
     assertEquals(9, state.revision());
   }
 
@@ -161,11 +164,11 @@
           + " one")
   void requestsUpdate() {
     list(9, item("a", 8, "x"));
-    assertEquals(List.of(), apply(new PublicationEvent.PeerRevision("peer", 11)));
+    assertEquals(List.of(), apply(new PublicationEvent.PeerRevision("peer", 0, 11)));
     now = now.plus(Duration.ofMillis(450));
     assertEquals(
-        List.of(new PublicationEffect.RequestUpdate("peer", 9)),
-        apply(new PublicationEvent.PeerRevision("peer", 11)));
+        List.of(new PublicationEffect.RequestUpdate("peer", 0, 9)),
+        apply(new PublicationEvent.PeerRevision("peer", 0, 11)));
   }
 
   @Test
@@ -195,8 +198,8 @@
         apply(new PublicationEvent.WatchReturned(state.reads().readNumber(), List.of(), 9)));
     assertEquals(List.of(), afterTick(Duration.ofMillis(400)));
     assertEquals(
-        List.of(new PublicationEffect.RequestUpdate("peer", 9)),
-        apply(new PublicationEvent.PeerRevision("peer", 11)));
+        List.of(new PublicationEffect.RequestUpdate("peer", 0, 9)),
+        apply(new PublicationEvent.PeerRevision("peer", 0, 11)));
     assertEquals(1, afterTick(Duration.ofSeconds(3)).size());
   }
 
@@ -246,11 +249,11 @@
     assertEquals(
         List.of(
             new PublicationEffect.SendUpdate(
-                "peer", List.of(item("servers/b", 12, "ready")), 0, 20)),
-        apply(new PublicationEvent.UpdateRequested("peer", 19)));
+                "peer", 0, List.of(item("servers/b", 12, "ready")), 0, 20)),
+        apply(new PublicationEvent.UpdateRequested("peer", 0, 19)));
     assertEquals(
-        List.of(new PublicationEffect.SendUpdate("peer", List.of(), 20, 20)),
-        apply(new PublicationEvent.UpdateRequested("peer", 20)));
+        List.of(new PublicationEffect.SendUpdate("peer", 0, List.of(), 20, 20)),
+        apply(new PublicationEvent.UpdateRequested("peer", 0, 20)));
   }
 
   @Test
@@ -260,7 +263,7 @@
     List<PublicationEffect> effects =
         apply(
             new PublicationEvent.UpdateReceived(
-                "peer", List.of(item("servers/b", 6, "ready")), 0, 20));
+                "peer", 0, List.of(item("servers/b", 6, "ready")), 0, 20));
     assertEquals(
         List.of(
             new PublicationEffect.Changed(
@@ -272,14 +275,14 @@
   @DisplayName("deletes nothing for the older whole copy of another host")
   void keepsItemsNewerThanWholeCopy() {
     list(10, item("servers/a", 5, "ready"));
-    assertEquals(List.of(), apply(new PublicationEvent.UpdateReceived("peer", List.of(), 0, 8)));
+    assertEquals(List.of(), apply(new PublicationEvent.UpdateReceived("peer", 0, List.of(), 0, 8)));
   }
 
   @Test
   @DisplayName("takes back from a listing what an update has wrongly deleted or left out")
   void repairsCopyByListing() {
     list(10, item("servers/a", 5, "ready"));
-    apply(new PublicationEvent.UpdateReceived("peer", List.of(), 0, 20));
+    apply(new PublicationEvent.UpdateReceived("peer", 0, List.of(), 0, 20));
     apply(new PublicationEvent.HistoryDropped(state.reads().readNumber()));
     List<PublishedItem> listed =
         List.of(item("servers/a", 5, "ready"), item("servers/b", 15, "ready"));
@@ -291,10 +294,14 @@
   @Test
   @DisplayName("is not complete by changes that begin after its revision")
   void ignoresRevisionOfLaterChanges() {
-    apply(new PublicationEvent.UpdateReceived("peer", List.of(item("servers/a", 51, "x")), 50, 52));
+    apply(
+        new PublicationEvent.UpdateReceived(
+            "peer", 0, List.of(item("servers/a", 51, "x")), 50, 52));
     assertEquals(0, state.revision());
     list(40, item("servers/b", 30, "x"));
-    apply(new PublicationEvent.UpdateReceived("peer", List.of(item("servers/a", 51, "x")), 50, 52));
+    apply(
+        new PublicationEvent.UpdateReceived(
+            "peer", 0, List.of(item("servers/a", 51, "x")), 50, 52));
     assertEquals(40, state.revision());
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/FleetEffectExecutor.java
@@ -94,7 +94,8 @@
                 statistics.heartbeat().loads()));
       }
       publication.offer(
-          new PublicationEvent.PeerRevision(statistics.host(), statistics.heartbeat().revision()));
+          new PublicationEvent.PeerRevision(
+              statistics.host(), statistics.heartbeat().era(), statistics.heartbeat().revision()));
     } else if (effect instanceof FleetEffect.OwnersKnown known) {
       ownersKnown(known);
     } else if (effect instanceof FleetEffect.HostsChanged changed) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -30,6 +30,7 @@
   private static final MetricName HOSTS = MetricName.of("parsleyhead_live_hosts");
   private static final MetricName CATALOGUE = MetricName.of("parsleyhead_catalogue_version");
 
+  private static final MetricName STORE_ERA = MetricName.of("parsleyhead_store_era");
   private static final MetricName REVISION = MetricName.of("parsleyhead_publication_revision");
   private static final MetricName SILENCE =
       MetricName.of("parsleyhead_publication_silence_seconds");
@@ -47,7 +48,9 @@
   }
 
   /** Registers the gauges of the copy of the published items. */
-  void registerPublicationGauges(LongSupplier revision, Supplier<Duration> silence) {
+  void registerPublicationGauges(
+      LongSupplier era, LongSupplier revision, Supplier<Duration> silence) {
+    metrics.gauge(STORE_ERA, era::getAsLong);
     metrics.gauge(REVISION, revision::getAsLong);
     metrics.gauge(SILENCE, () -> silence.get().toMillis() / MILLISECONDS_PER_SECOND);
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -147,7 +147,8 @@
         new Duty<>(
             publicationRing,
             PublicationState.initial(now),
-            new PublicationTransition(PublicationSettings.DEFAULT),
+            new PublicationTransition(
+                PublicationSettings.DEFAULT, new DecodedItemVersions(platform.decoder())),
             new PublicationEffectExecutor(
                 self,
                 platform.source(),
@@ -193,6 +194,7 @@
         () -> dispatch.state().catalogue().version());
     metrics.registerConnections(upstreams::openedConnections);
     metrics.registerPublicationGauges(
+        () -> publication.state().era(),
         () -> publication.state().revision(),
         () -> clock.now().since(publication.state().answeredAt()));
   }
@@ -274,9 +276,11 @@
 
   private FleetEvent fleetTick() {
     DispatchState state = dispatch.state();
+    PublicationState published = publication.state();
     return new FleetEvent.Tick(
         System.currentTimeMillis(),
-        publication.state().revision(),
+        published.era(),
+        published.revision(),
         state.admittedUnits(),
         state.sentLoads(),
         state.adapterUse());
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
@@ -49,13 +49,14 @@
       fleet.offer(new FleetEvent.LoadAnswered(answer));
     } else if (message instanceof PublicationUpdateRequest request) {
       publication.offer(
-          new PublicationEvent.UpdateRequested(request.endpoint(), request.afterRevision()));
+          new PublicationEvent.UpdateRequested(
+              request.endpoint(), request.era(), request.afterRevision()));
     } else if (message instanceof QuarantineReport report) {
       dispatch.offer(new DispatchEvent.QuarantineNews(host, report.reports()));
     } else if (message instanceof PublicationUpdate update) {
       publication.offer(
           new PublicationEvent.UpdateReceived(
-              host, update.items(), update.afterRevision(), update.revision()));
+              host, update.era(), update.items(), update.afterRevision(), update.revision()));
     }
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -75,9 +75,12 @@
     } else if (effect instanceof PublicationEffect.SendUpdate update) {
       peers.send(
           update.host(),
-          new PublicationUpdate(update.items(), update.afterRevision(), update.revision()));
+          new PublicationUpdate(
+              update.era(), update.items(), update.afterRevision(), update.revision()));
     } else if (effect instanceof PublicationEffect.RequestUpdate request) {
-      peers.send(request.host(), new PublicationUpdateRequest(self, request.afterRevision()));
+      peers.send(
+          request.host(),
+          new PublicationUpdateRequest(self, request.era(), request.afterRevision()));
     } else if (effect instanceof PublicationEffect.Ignored ignored) {
       logIgnored(ignored);
     } else if (effect instanceof PublicationEffect.PlatformSilent silent) {
@@ -89,6 +92,8 @@
           silent.revision());
     } else if (effect instanceof PublicationEffect.Reachability reachability) {
       logReachability(reachability);
+    } else {
+      StoreEraLog.log(LOG, effect);
     }
   }
 
