--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFaults.java
@@ -23,8 +23,9 @@
  * Injects random faults, drawn from a seed, from outside the processes. Several are in force at a
  * time, each on a host or server of its own; at least one host stays without a fault of its own.
  * Beside them, all plain servers together answer badly from time to time, sound servers fall silent
- * and go on, hosts get SIGHUP, and the time limit of a route changes. Planned stops that overlap
- * follow, one host after the other, among silent servers. Each of these has a draw of its own.
+ * and go on, hosts get SIGHUP, the time limit of a route changes, and the store is restored from
+ * copies. Planned stops that overlap follow, one host after the other, among silent servers. Each
+ * of these has a draw of its own.
  *
  * <p>{@link #run} is confined to one thread and injects the faults on worker threads; the shared
  * state is guarded by the monitor of this object.
@@ -42,6 +43,13 @@
   private static final int ANSWER_DRAW = 2;
   private static final int CHANGE_DRAW = 3;
   private static final int STOP_DRAW = 4;
+  private static final int ROLLBACK_DRAW = 5;
+
+  /** The oldest copy from which the store is restored, in seconds. */
+  private static final double MAXIMUM_COPY_AGE = 20;
+
+  private static final int MAXIMUM_REWRITE_DELAY_MILLISECONDS = 1_500;
+  private static final int MAXIMUM_ROLLBACK_INTERVAL_MILLISECONDS = 4_000;
 
   private static final Duration LONG_STREAM_TIMEOUT = Duration.ofSeconds(12);
   private static final int MAXIMUM_CHANGE_INTERVAL_MILLISECONDS = 1_000;
@@ -88,11 +96,13 @@
   void run(Duration duration) throws InterruptedException {
     fleet.fallSilentWhileAnswering(new RandomSilences(seedOf(ANSWER_DRAW)));
     AtomicBoolean disturbing = new AtomicBoolean(true);
-    ExecutorService beside = Executors.newFixedThreadPool(2);
+    ExecutorService beside = Executors.newFixedThreadPool(3);
     SilentServers silentServers = new SilentServers(fleet, seedOf(SILENCE_DRAW), this::count);
     Random changes = new Random(seedOf(CHANGE_DRAW));
+    Random rollbacks = new Random(seedOf(ROLLBACK_DRAW));
     beside.execute(() -> repeat(disturbing::get, silentServers::silenceAndGoOn));
     beside.execute(() -> repeat(disturbing::get, () -> changeAndHangUp(changes)));
+    beside.execute(() -> repeat(disturbing::get, () -> rollBackStore(rollbacks)));
     injectRandomFaults(duration);
     new StopSeries(fleet.hosts(), new Random(seedOf(STOP_DRAW)), this::stopInSeries).run();
     disturbing.set(false);
@@ -155,6 +165,18 @@
     sleep(draw.nextInt(MAXIMUM_CHANGE_INTERVAL_MILLISECONDS));
   }
 
+  /** Restores the store from a copy, one time in four twice, and writes again what it lacks. */
+  private void rollBackStore(Random draw) {
+    sleep(draw.nextInt(MAXIMUM_ROLLBACK_INTERVAL_MILLISECONDS));
+    int rollbacks = draw.nextInt(4) == 0 ? 2 : 1;
+    for (int index = 0; index < rollbacks; index++) {
+      count("rollback");
+      fleet.rollBackStore(1 + draw.nextDouble() * (MAXIMUM_COPY_AGE - 1));
+      sleep(draw.nextInt(MAXIMUM_REWRITE_DELAY_MILLISECONDS));
+    }
+    fleet.writeAgain();
+  }
+
   private void repeat(BooleanSupplier condition, Runnable action) {
     while (condition.getAsBoolean() && attempt(action)) {
       // The action itself takes its time.
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/SoakFleet.java
@@ -55,6 +55,7 @@
   private final List<Host> hosts = new ArrayList<>();
   private final Map<String, Server> servers = new HashMap<>();
   private final Map<String, String> accounts = new HashMap<>();
+  private final Map<String, Optional<String>> written = new HashMap<>();
   private Supplier<SilencePlan> silences = () -> SilencePlan.NONE;
   private Duration streamTimeout = PublishedDocuments.STREAM_TIMEOUT;
   private long catalogueVersion;
@@ -147,11 +148,26 @@
   synchronized void removeServer(Server server) {
     String identifier = server.standin().identifier();
     servers.remove(identifier);
-    store.write(PublishedDocuments.announcementKey(identifier), Optional.empty());
+    write(PublishedDocuments.announcementKey(identifier), Optional.empty());
     server.proxy().close();
     server.standin().close();
   }
 
+  /** Restores the store from a copy of some seconds ago. */
+  synchronized void rollBackStore(double seconds) {
+    store.rollBack(seconds);
+  }
+
+  /** Writes all items again as the operators and servers wrote them last, deletions included. */
+  synchronized void writeAgain() {
+    written.forEach(store::write);
+  }
+
+  private void write(String key, Optional<String> value) {
+    written.put(key, value);
+    store.write(key, value);
+  }
+
   @Override
   public void close() {
     hosts.forEach(Host::close);
@@ -162,7 +178,7 @@
   }
 
   private void publishAnnouncement(Server server, boolean leaving, long number) {
-    store.write(
+    write(
         PublishedDocuments.announcementKey(server.standin().identifier()),
         Optional.of(
             PublishedDocuments.announcement(
@@ -171,7 +187,7 @@
 
   private void publishCatalogue() {
     catalogueVersion += 3;
-    store.write(
+    write(
         PublishedDocuments.CATALOGUE_KEY,
         Optional.of(PublishedDocuments.catalogue(catalogueVersion, accounts, streamTimeout)));
   }
