--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -210,6 +210,7 @@
         packer.packString(item.value().get());
       }
     }
+    FormerCopyEncoding.write(message.former(), packer);
   }
 
   private static PublicationUpdate readUpdate(MessageUnpacker unpacker) throws IOException {
@@ -225,7 +226,8 @@
           unpacker.unpackBoolean() ? Optional.of(unpacker.unpackString()) : Optional.empty();
       items.add(new PublishedItem(key, era, itemRevision, value));
     }
-    return new PublicationUpdate(era, items, afterRevision, revision);
+    return new PublicationUpdate(
+        era, items, afterRevision, revision, FormerCopyEncoding.read(unpacker));
   }
 
   private static void writeReport(AdapterReport report, MessagePacker packer) throws IOException {
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -25,6 +25,9 @@
 import org.parsleyhead.core.fleet.QuarantineReport;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
+import org.parsleyhead.core.publication.FormerCopy;
+import org.parsleyhead.core.publication.FormerItem;
+import org.parsleyhead.core.publication.ItemVersion;
 import org.parsleyhead.core.publication.PublishedItem;
 import org.parsleyhead.core.quarantine.Trait;
 import org.parsleyhead.core.quarantine.TraitReport;
@@ -67,7 +70,15 @@
                 new PublishedItem("servers/a", 2, 4, Optional.of("{}")),
                 new PublishedItem("servers/b", 2, 5, Optional.empty())),
             3,
-            5),
+            5,
+            new FormerCopy(
+                List.of(
+                    new FormerItem(
+                        new PublishedItem("op/config", 1, 8, Optional.of("{}")), Optional.empty()),
+                    new FormerItem(
+                        new PublishedItem("servers/c", 1, 0, Optional.empty()),
+                        Optional.of(new ItemVersion(6, 7)))),
+                900)),
         new QuarantineReport(
             List.of(
                 new TraitReport(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/EraMerge.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/EraMerge.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.parsleyhead.core.api.MonotonicTime;
+import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
@@ -57,6 +59,33 @@
     return former == null || !former.item().value().equals(item.value());
   }
 
+  /**
+   * Takes what remains of former eras on another host.
+   *
+   * @param copy what remains there
+   * @param learnedAt when the confirmation time began; empty if it has ended
+   * @param items the copy of the items of the current era
+   * @return the changes of what is in force
+   */
+  List<PublishedItem> takeFormer(
+      FormerCopy copy, Optional<MonotonicTime> learnedAt, PMap<String, PublishedItem> items) {
+    List<PublishedItem> changed = new ArrayList<>();
+    PMap<String, FormerItem> kept = HashTreePMap.empty();
+    for (FormerItem former : copy.items()) {
+      String key = former.item().key();
+      PublishedItem current = items.get(key);
+      if (current == null || !former.replacedBy(current, era.wrote(current), versions)) {
+        kept = kept.plus(key, former);
+        era = era.withRemoved(era.removed().with(key, former.removedVersion()));
+        if (current != null || !former.isRemoved()) {
+          changed.add(former.item());
+        }
+      }
+    }
+    era = era.withFormerOf(kept, learnedAt);
+    return changed;
+  }
+
   /**
    * Ends the confirmation time: what the store has not shown again is deleted, and what it shows
    * with other contents is taken, unless its own version proves it older.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/FormerItem.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/FormerItem.java
@@ -1,6 +1,8 @@
 package org.parsleyhead.core.publication;
 
 import java.util.Optional;
+import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.Preconditions;
 
 /**
  * What was in force for a key when the era of the store increased.
@@ -11,7 +13,16 @@
  * @param item the item; its deletion if it was deleted
  * @param removedVersion the last known version of a deleted item; empty for others
  */
-record FormerItem(PublishedItem item, Optional<ItemVersion> removedVersion) {
+public record FormerItem(PublishedItem item, Optional<ItemVersion> removedVersion) {
+
+  /** Requires all components to be present, and the version for a deletion alone. */
+  public FormerItem {
+    Preconditions.requireNonNull(item, "item");
+    Preconditions.requireNonNull(removedVersion, "removedVersion");
+    if (item.value().isPresent() == removedVersion.isPresent()) {
+      throw new InvalidValueException("removedVersion", "must belong to a deletion");
+    }
+  }
 
   static FormerItem present(PublishedItem item) {
     return new FormerItem(item, Optional.empty());
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEffect.java
@@ -41,9 +41,15 @@
    * @param items the items that changed after a revision
    * @param afterRevision that revision; 0 for all items, so that what they lack has been deleted
    * @param revision the revision up to which they are complete; 0 if this host does not know
+   * @param former what remains in force of former eras; unknown unless all items are sent
    */
   record SendUpdate(
-      String host, long era, List<PublishedItem> items, long afterRevision, long revision)
+      String host,
+      long era,
+      List<PublishedItem> items,
+      long afterRevision,
+      long revision,
+      FormerCopy former)
       implements PublicationEffect {}
 
   /** Requests the items that changed after a revision of an era from another host. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationEvent.java
@@ -65,11 +65,23 @@
    * @param items the items that changed after a revision
    * @param afterRevision that revision; 0 for all items, so that what they lack has been deleted
    * @param revision the revision up to which they are complete; 0 if the host does not know
+   * @param former what remains in force of former eras on the other host
    */
   record UpdateReceived(
-      String host, long era, List<PublishedItem> items, long afterRevision, long revision)
+      String host,
+      long era,
+      List<PublishedItem> items,
+      long afterRevision,
+      long revision,
+      FormerCopy former)
       implements PublicationEvent {
 
+    /** Creates the update of a host that knows nothing of former eras. */
+    public UpdateReceived(
+        String host, long era, List<PublishedItem> items, long afterRevision, long revision) {
+      this(host, era, items, afterRevision, revision, FormerCopy.UNKNOWN);
+    }
+
     /** Returns whether the items are all that exist at the revision. */
     boolean wholeCopy() {
       return afterRevision == 0 && revision > 0;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -393,7 +393,14 @@
       return increaseEraFromPeer(state, peer.era(), peer.host(), time)
           .andThen(next -> peerRevision(next, peer, time));
     }
-    if (peer.era() < state.era() || peer.revision() <= state.revision()) {
+    return peer.era() < state.era()
+        ? Step.of(state)
+        : inquire(state, peer, time).andThen(next -> requestChanges(next, peer, time));
+  }
+
+  private Step<PublicationState, PublicationEffect> requestChanges(
+      PublicationState state, PublicationEvent.PeerRevision peer, MonotonicTime time) {
+    if (peer.revision() <= state.revision()) {
       return Step.of(state);
     }
     MonotonicTime since = state.peerAheadSince().orElse(time);
@@ -408,6 +415,42 @@
         : Step.of(state.withPeerAheadSince(Optional.of(since)));
   }
 
+  /** Requests what remains of former eras, which a host that started later cannot know. */
+  private Step<PublicationState, PublicationEffect> inquire(
+      PublicationState state, PublicationEvent.PeerRevision peer, MonotonicTime time) {
+    FormerInquiry inquiry = state.storeEra().inquiry();
+    return state.complete() && inquiry.due(settings.peerUpdateDelay(), time)
+        ? Step.of(
+            state.withStoreEra(state.storeEra().withInquiry(inquiry.sent(time))),
+            new PublicationEffect.RequestUpdate(peer.host(), state.era(), 0))
+        : Step.of(state);
+  }
+
+  private Step<PublicationState, PublicationEffect> takeFormer(
+      PublicationState state, PublicationEvent.UpdateReceived update, MonotonicTime time) {
+    FormerCopy former = update.former();
+    if (state.storeEra().formerKnown() || !former.known()) {
+      return Step.of(state);
+    }
+    Duration left =
+        Duration.ofMillis(
+            Math.min(
+                former.confirmationLeftMilliseconds(), settings.confirmationTime().toMillis()));
+    Optional<MonotonicTime> learnedAt =
+        left.isZero()
+            ? Optional.empty()
+            : Optional.of(time.minus(settings.confirmationTime().minus(left)));
+    EraMerge eras = new EraMerge(state.storeEra(), versions);
+    List<PublishedItem> changed = eras.takeFormer(former, learnedAt, state.items());
+    PublicationState next = state.withStoreEra(eras.result());
+    return changed.isEmpty()
+        ? Step.of(next)
+        : Step.of(
+            next,
+            new PublicationEffect.Changed(
+                changed, "peer=" + update.host(), state.reads().silence(time)));
+  }
+
   /** Takes a higher era from another host; a reader lists the items of the store itself too. */
   private Step<PublicationState, PublicationEffect> increaseEraFromPeer(
       PublicationState state, long era, String host, MonotonicTime time) {
@@ -419,15 +462,15 @@
       PublicationState state, PublicationEvent.UpdateRequested request, MonotonicTime time) {
     return request.era() > state.era()
         ? increaseEraFromPeer(state, request.era(), request.host(), time)
-        : Step.of(state, updateFor(state, request));
+        : Step.of(state, updateFor(state, request, time));
   }
 
   /**
    * Returns the update for another host. It holds the whole copy if this one lacks deletions that
    * the other host may have missed too, or if the other host knows only a former era.
    */
-  private static PublicationEffect updateFor(
-      PublicationState state, PublicationEvent.UpdateRequested request) {
+  private PublicationEffect updateFor(
+      PublicationState state, PublicationEvent.UpdateRequested request, MonotonicTime time) {
     long afterRevision =
         request.era() < state.era() || request.afterRevision() < state.deletionsKnownFrom()
             ? 0
@@ -438,7 +481,14 @@
             .sorted(Comparator.comparingLong(PublishedItem::revision))
             .toList();
     return new PublicationEffect.SendUpdate(
-        request.host(), state.era(), items, afterRevision, state.revision());
+        request.host(),
+        state.era(),
+        items,
+        afterRevision,
+        state.revision(),
+        afterRevision == 0
+            ? state.storeEra().formerCopy(settings.confirmationTime(), time)
+            : FormerCopy.UNKNOWN);
   }
 
   /** Merges an update from another host, whose whole copy is as good as a listing. */
@@ -467,7 +517,7 @@
     Step<PublicationState, PublicationEffect> merged =
         merge(current, update.items(), source, inPage(state, revision), time);
     if (revision <= state.revision()) {
-      return merged;
+      return merged.andThen(next -> takeFormer(next, update, time));
     }
     Set<String> keys =
         update.items().stream()
@@ -476,7 +526,8 @@
             .collect(Collectors.toUnmodifiableSet());
     return merged
         .andThen(next -> merge(next, deletions(next, revision, keys), source, changed(next), time))
-        .andThen(next -> Step.of(completeTo(next.withDeletionsKnownFrom(revision), revision)));
+        .andThen(next -> Step.of(completeTo(next.withDeletionsKnownFrom(revision), revision)))
+        .andThen(next -> takeFormer(next, update, time));
   }
 
   /**
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreEra.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/StoreEra.java
@@ -1,5 +1,7 @@
 package org.parsleyhead.core.publication;
 
+import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.pcollections.HashTreePMap;
@@ -19,6 +21,8 @@
  * @param increasedAt when this host learned of the increase; empty if there was none, or if the
  *     confirmation time has ended
  * @param formerlyComplete whether the copy was complete in a former era
+ * @param formerKnown whether the host knows what remains of former eras
+ * @param inquiry the requests to other hosts for what remains of former eras
  * @param former the items that the current era has not replaced, by key
  * @param removed the last known versions of deleted items
  */
@@ -28,11 +32,22 @@
     long firstRevision,
     Optional<MonotonicTime> increasedAt,
     boolean formerlyComplete,
+    boolean formerKnown,
+    FormerInquiry inquiry,
     PMap<String, FormerItem> former,
     RemovedItems removed) {
 
   static final StoreEra UNKNOWN =
-      new StoreEra(0, 0, 0, Optional.empty(), false, HashTreePMap.empty(), RemovedItems.NONE);
+      new StoreEra(
+          0,
+          0,
+          0,
+          Optional.empty(),
+          false,
+          true,
+          FormerInquiry.NONE,
+          HashTreePMap.empty(),
+          RemovedItems.NONE);
 
   /**
    * Returns the next era.
@@ -67,6 +82,8 @@
         0,
         kept.isEmpty() ? Optional.empty() : Optional.of(time),
         formerlyComplete || complete,
+        formerlyComplete || complete,
+        formerlyComplete || complete ? FormerInquiry.NONE : FormerInquiry.START,
         kept,
         removed);
   }
@@ -79,23 +96,100 @@
   StoreEra withCompleteTo(long revision) {
     return firstRevision > 0
         ? this
-        : new StoreEra(number, firstRead, revision, increasedAt, formerlyComplete, former, removed);
+        : new StoreEra(
+            number,
+            firstRead,
+            revision,
+            increasedAt,
+            formerlyComplete,
+            formerKnown,
+            inquiry,
+            former,
+            removed);
   }
 
   StoreEra withFormer(PMap<String, FormerItem> next) {
     return new StoreEra(
-        number, firstRead, firstRevision, increasedAt, formerlyComplete, next, removed);
+        number,
+        firstRead,
+        firstRevision,
+        increasedAt,
+        formerlyComplete,
+        formerKnown,
+        inquiry,
+        next,
+        removed);
   }
 
   StoreEra withRemoved(RemovedItems next) {
     return next == removed
         ? this
         : new StoreEra(
-            number, firstRead, firstRevision, increasedAt, formerlyComplete, former, next);
+            number,
+            firstRead,
+            firstRevision,
+            increasedAt,
+            formerlyComplete,
+            formerKnown,
+            inquiry,
+            former,
+            next);
   }
 
   StoreEra confirmed() {
     return new StoreEra(
-        number, firstRead, firstRevision, Optional.empty(), formerlyComplete, former, removed);
+        number,
+        firstRead,
+        firstRevision,
+        Optional.empty(),
+        formerlyComplete,
+        formerKnown,
+        inquiry,
+        former,
+        removed);
+  }
+
+  StoreEra withInquiry(FormerInquiry next) {
+    return new StoreEra(
+        number,
+        firstRead,
+        firstRevision,
+        increasedAt,
+        formerlyComplete,
+        formerKnown,
+        next,
+        former,
+        removed);
+  }
+
+  /**
+   * Returns this era with what remains of former eras on another host.
+   *
+   * @param next the items that remain in force
+   * @param learnedAt when the confirmation time began; empty if it has ended
+   */
+  StoreEra withFormerOf(PMap<String, FormerItem> next, Optional<MonotonicTime> learnedAt) {
+    return new StoreEra(
+        number,
+        firstRead,
+        firstRevision,
+        learnedAt,
+        formerlyComplete,
+        true,
+        FormerInquiry.NONE,
+        next,
+        removed);
+  }
+
+  /** Returns what remains of former eras, for another host. */
+  FormerCopy formerCopy(Duration confirmationTime, MonotonicTime time) {
+    if (number == 0 || !formerKnown) {
+      return FormerCopy.UNKNOWN;
+    }
+    long left =
+        increasedAt
+            .map(at -> Math.max(1, confirmationTime.minus(time.since(at)).toMillis()))
+            .orElse(0L);
+    return new FormerCopy(List.copyOf(former.values()), left);
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/FakePublicationFleet.java
@@ -267,7 +267,12 @@
         send(
             update.host(),
             new PublicationEvent.UpdateReceived(
-                name, update.era(), update.items(), update.afterRevision(), update.revision()));
+                name,
+                update.era(),
+                update.items(),
+                update.afterRevision(),
+                update.revision(),
+                update.former()));
       } else if (effect instanceof PublicationEffect.RequestUpdate request) {
         send(
             request.host(),
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/PublicationTransitionTests.java
@@ -249,10 +249,10 @@
     assertEquals(
         List.of(
             new PublicationEffect.SendUpdate(
-                "peer", 0, List.of(item("servers/b", 12, "ready")), 0, 20)),
+                "peer", 0, List.of(item("servers/b", 12, "ready")), 0, 20, FormerCopy.UNKNOWN)),
         apply(new PublicationEvent.UpdateRequested("peer", 0, 19)));
     assertEquals(
-        List.of(new PublicationEffect.SendUpdate("peer", 0, List.of(), 20, 20)),
+        List.of(new PublicationEffect.SendUpdate("peer", 0, List.of(), 20, 20, FormerCopy.UNKNOWN)),
         apply(new PublicationEvent.UpdateRequested("peer", 0, 20)));
   }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraFleetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraFleetTests.java
@@ -200,6 +200,28 @@
     assertInForce();
   }
 
+  // Guards against a new host that serves by the restored copy until it is written again.
+  @ParameterizedTest(name = "{0} hosts")
+  @ValueSource(ints = {6, 40})
+  @DisplayName("tells a host that starts after the rollback what remains in force")
+  void tellsNewHost(int size) {
+    start(10, size);
+    FakeStore.Copy copy = fleet.store().copy();
+    changeConfiguration();
+    delete("servers/3");
+    write("servers/new", "ready 7." + announcement);
+    fleet.run(Duration.ofSeconds(2));
+    fleet.store().rollBack(copy);
+    fleet.run(Duration.ofSeconds(2));
+    fleet.start(fleet.hostNames().get(0));
+    fleet.start(fleet.hostNames().get(size - 1));
+    fleet.run(Duration.ofSeconds(2));
+    assertNotReverted("servers/3");
+    writeAgain();
+    fleet.run(IN_FORCE);
+    assertInForce();
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {31, 32, 33, 34, 35, 36})
   @DisplayName("holds what the store has after random changes, faults and rollbacks")
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraTests.java
@@ -273,10 +273,68 @@
     assertEquals(
         List.of(
             new PublicationEffect.SendUpdate(
-                "peer", 2, List.of(item(2, "servers/a", 90, "ready 7.1")), 0, 100)),
+                "peer",
+                2,
+                List.of(item(2, "servers/a", 90, "ready 7.1")),
+                0,
+                100,
+                FormerCopy.UNKNOWN)),
         apply(new PublicationEvent.UpdateRequested("peer", 1, 300)));
   }
 
+  /** Returns the answer of this host to a request of a host that has just started. */
+  private PublicationEvent.UpdateReceived wholeCopyForNewHost() {
+    PublicationEffect.SendUpdate sent =
+        (PublicationEffect.SendUpdate)
+            apply(new PublicationEvent.UpdateRequested("new", state.era(), 0)).get(0);
+    return new PublicationEvent.UpdateReceived(
+        "old", sent.era(), sent.items(), sent.afterRevision(), sent.revision(), sent.former());
+  }
+
+  // Guards against withdrawn keys and removed servers on a host that starts after the rollback.
+  @Test
+  @DisplayName("requests from another host, after its start, what remains of the former era")
+  void inquiresAfterStart() {
+    list(
+        0,
+        100,
+        item(0, "op/config", 90, "withdrawn 5.0"),
+        item(0, "op/evacuate/x", 91, "{}"),
+        item(0, "servers/a", 92, "ready 7.1"));
+    watch(0, 101, deletion(0, "servers/a", 101));
+    PublishedItem[] restored = {
+      item(1, "op/config", 40, "valid 4.0"), item(1, "servers/a", 50, "ready 7.1")
+    };
+    rollBack(1, 80, restored);
+    pass(Duration.ofSeconds(5));
+    final PublicationEvent.UpdateReceived copy = wholeCopyForNewHost();
+    state = PublicationState.initial(now);
+    inForce.clear();
+    list(1, 80, restored);
+    assertEquals(
+        List.of(new PublicationEffect.RequestUpdate("old", 1, 0)),
+        apply(new PublicationEvent.PeerRevision("old", 1, 80)));
+    apply(copy);
+    assertEquals(Map.of("op/config", "withdrawn 5.0", "op/evacuate/x", "{}"), inForce);
+    assertEquals(List.of(), apply(new PublicationEvent.PeerRevision("old", 1, 80)));
+    pass(CONFIRMATION.minusSeconds(4));
+    assertEquals(Map.of("op/config", "withdrawn 5.0"), inForce);
+  }
+
+  // Guards against whole copies that all hosts of a fleet request again and again.
+  @Test
+  @DisplayName("requests what remains of former eras three times at most")
+  void boundsInquiries() {
+    list(1, 80, item(1, "servers/a", 50, "ready 7.1"));
+    int requests = 0;
+    for (int heartbeat = 0; heartbeat < 20; heartbeat++) {
+      now = now.plus(Duration.ofMillis(300));
+      requests += apply(new PublicationEvent.PeerRevision("peer", 1, 80)).size();
+      apply(new PublicationEvent.UpdateReceived("peer", 1, List.of(), 80, 80));
+    }
+    assertEquals(3, requests);
+  }
+
   // Guards against memory that grows with each server that ever ran.
   @Test
   @DisplayName("remembers a bounded number of removed servers, the most recent ones")
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PeerReceiver.java
@@ -56,7 +56,12 @@
     } else if (message instanceof PublicationUpdate update) {
       publication.offer(
           new PublicationEvent.UpdateReceived(
-              host, update.era(), update.items(), update.afterRevision(), update.revision()));
+              host,
+              update.era(),
+              update.items(),
+              update.afterRevision(),
+              update.revision(),
+              update.former()));
     }
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/PublicationEffectExecutor.java
@@ -76,7 +76,11 @@
       peers.send(
           update.host(),
           new PublicationUpdate(
-              update.era(), update.items(), update.afterRevision(), update.revision()));
+              update.era(),
+              update.items(),
+              update.afterRevision(),
+              update.revision(),
+              update.former()));
     } else if (effect instanceof PublicationEffect.RequestUpdate request) {
       peers.send(
           request.host(),
