--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -27,6 +27,9 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.overload.RequestRank;
+import org.parsleyhead.core.publication.FormerCopy;
+import org.parsleyhead.core.publication.FormerItem;
+import org.parsleyhead.core.publication.ItemVersion;
 import org.parsleyhead.core.publication.PublishedItem;
 import org.parsleyhead.core.quarantine.Trait;
 import org.parsleyhead.core.quarantine.TraitReport;
@@ -44,6 +47,7 @@
             1,
             "10.0.0.1:9",
             true,
+            11,
             2,
             3,
             true,
@@ -70,13 +74,22 @@
                 Duration.ofMillis(4),
                 Duration.ofMillis(5))),
         new LoadAnswer("i-1", ADAPTER, false, 251, 19, "no_slot"),
-        new PublicationUpdateRequest("10.0.0.1:9", 3),
+        new PublicationUpdateRequest("10.0.0.1:9", 2, 3),
         new PublicationUpdate(
+            2,
             List.of(
-                new PublishedItem("servers/a", 4, Optional.of("{}")),
-                new PublishedItem("servers/b", 5, Optional.empty())),
+                new PublishedItem("servers/a", 2, 4, Optional.of("{}")),
+                new PublishedItem("servers/b", 2, 5, Optional.empty())),
             3,
-            5),
+            5,
+            new FormerCopy(
+                List.of(
+                    new FormerItem(
+                        new PublishedItem("op/config", 1, 8, Optional.of("{}")), Optional.empty()),
+                    new FormerItem(
+                        new PublishedItem("servers/c", 1, 0, Optional.empty()),
+                        Optional.of(new ItemVersion(6, 7)))),
+                900)),
         new QuarantineReport(
             List.of(
                 new TraitReport(
