Cold servers get at most their rate from all hosts together

Cause: hosts sent their usual load to servers that had just started, which end under it.

Change: services have cold_s and cold_per_s, announcements cold_left_ms, and responses X-Parsleyhead-Cold-Ms; an invalid value is logged at most once per minute and counts as 0 or absent. ColdServers keeps the newest statement about each server, also after the end of an evacuation. ColdSends gives two of the live hosts a share, by rendezvous hash, if they see a majority of the known hosts; each sends at 0.4 of the rate with a burst of one. A share that a host gains takes effect after one second, since hosts detect a silent host at different times. EligibleInstances applies this to all sends. If all servers are cold, a request waits for its turn or is refused with the time of it.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEvent.java
@@ -56,9 +56,17 @@
    * @param instance the instance, as it was announced when the request was sent
    * @param leaving whether it is about to leave
    * @param refusesFor how long it wants no further requests; empty if it does not say
+   * @param coldFor how long it stays cold; empty if it does not say
    */
-  record InstanceNotice(Instance instance, boolean leaving, Optional<Duration> refusesFor)
-      implements DispatchEvent {}
+  record InstanceNotice(
+      Instance instance, boolean leaving, Optional<Duration> refusesFor, Optional<Duration> coldFor)
+      implements DispatchEvent {
+
+    /** Creates the notice of an instance that does not say whether it is cold. */
+    public InstanceNotice(Instance instance, boolean leaving, Optional<Duration> refusesFor) {
+      this(instance, leaving, refusesFor, Optional.empty());
+    }
+  }
 
   /** The owner of an instance reported the models and adapters that the instance holds. */
   record AdaptersReported(AdapterReport report) implements DispatchEvent {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchSettings.java
@@ -4,6 +4,7 @@
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.overload.RetryAfterPolicy;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.quarantine.TrialRight;
 
 /**
@@ -26,6 +27,7 @@
  * @param retryAfter decides when refused callers should return
  * @param waitPolicy decides whether requests wait for capacity that is expected later
  * @param trialRight decides whether this host may try a request that may end its server
+ * @param placement the settings of the decisions where requests may be sent
  */
 public record DispatchSettings(
     FailureDomainName failureDomain,
@@ -40,4 +42,5 @@
     double burstTolerance,
     RetryAfterPolicy retryAfter,
     WaitPolicy waitPolicy,
-    TrialRight trialRight) {}
+    TrialRight trialRight,
+    PlacementSettings placement) {}
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -11,7 +11,6 @@
 import org.parsleyhead.core.api.Transition;
 import org.parsleyhead.core.instance.AdapterReport;
 import org.parsleyhead.core.instance.Instance;
-import org.parsleyhead.core.placement.PlacementState;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.parsleyhead.core.serving.ServiceDefinition;
@@ -36,6 +35,7 @@
   private final RequestDispatcher dispatcher;
   private final QuarantineHandler quarantine;
   private final AttemptEventHandler attemptEvents;
+  private final PlacementHandler placement;
 
   /** Creates the transition. */
   public DispatchTransition(DispatchSettings settings) {
@@ -44,6 +44,7 @@
     this.admission = new Admission(settings, dispatcher);
     this.quarantine = new QuarantineHandler();
     this.attemptEvents = new AttemptEventHandler(dispatcher, quarantine);
+    this.placement = new PlacementHandler(settings);
   }
 
   @Override
@@ -109,10 +110,11 @@
       return admission.stop(state, stopping.plan(), time);
     }
     if (event instanceof DispatchEvent.Tick) {
-      return quarantine.onTick(removeExpired(state, time), time);
+      return quarantine.onTick(placement.onTick(removeExpired(state, time), time), time);
     }
     if (event instanceof DispatchEvent.LiveHostsChanged changed) {
-      return quarantine.onHostsChanged(liveHostsChanged(state, changed), time);
+      return quarantine.onHostsChanged(
+          placement.onHostsChanged(liveHostsChanged(state, changed), time), time);
     }
     return Step.of(applyUpdate(state, event, time));
   }
@@ -126,9 +128,9 @@
           state.instances().update(removed.identifier(), view -> view.withRemovedAt(time)));
     }
     if (event instanceof DispatchEvent.InstanceNotice notice) {
-      return state.withInstances(
-          state
-              .instances()
+      DispatchState next = placement.onNotice(state, notice, time);
+      return next.withInstances(
+          next.instances()
               .update(notice.instance().identifier(), view -> view.withNotice(notice, time)));
     }
     if (event instanceof DispatchEvent.AdaptersReported reported) {
@@ -165,10 +167,14 @@
     return state.withCatalogue(catalogue).withBuckets(buckets).withBudgets(budgets);
   }
 
-  private static DispatchState instancesAnnounced(
+  private DispatchState instancesAnnounced(
       DispatchState state, List<Instance> announced, MonotonicTime time) {
     InstanceTable table = state.instances();
+    DispatchState next = state;
     for (Instance instance : announced) {
+      next =
+          placement.onAnnounced(
+              next, table.find(instance.identifier()).map(InstanceView::instance), instance, time);
       InstanceView view =
           table
               .find(instance.identifier())
@@ -176,18 +182,15 @@
               .orElseGet(() -> InstanceView.fresh(instance, time));
       table = table.with(view.withAdapters(view.adapters().withoutOutdated(state.versions())));
     }
-    return state.withInstances(table);
+    return next.withInstances(table);
   }
 
   /** Dispatches waiting requests again, which may be refused at once or sent now. */
   private Step<DispatchState, DispatchEffect> evacuationChanged(
       DispatchState state, DispatchEvent.EvacuationChanged changed, MonotonicTime time) {
-    PlacementState placement = state.placement();
-    DispatchState next =
-        state.withPlacement(
-            placement.withEvacuated(
-                placement.evacuated().with(changed.domain(), changed.evacuated())));
-    return dispatcher.loads().onOwnersChanged(next, time);
+    return dispatcher
+        .loads()
+        .onOwnersChanged(placement.onEvacuationChanged(state, changed, time), time);
   }
 
   private static DispatchState versionDeclared(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -147,7 +147,7 @@
   }
 
   /** Returns whether an instance holds the base model of a request. */
-  private static boolean holdsModel(ActiveRequest active, InstanceView view) {
+  static boolean holdsModel(ActiveRequest active, InstanceView view) {
     return active
         .request()
         .work()
@@ -178,6 +178,7 @@
     if (active.progress().attempts() > 0) {
       next = retries.charge(next, active, time);
     }
+    next = eligible.charge(next, view, time);
     ActiveRequest sent = active.with(progress);
     DispatchEffect send =
         new DispatchEffect.Send(
@@ -190,7 +191,7 @@
             active.route().kind().stream(),
             active.route().kind().repeatable(),
             work.map(requested -> state.versions().of(requested.adapter())).orElse(0L),
-            inputs(active, candidate, state));
+            inputs(active, candidate, state) + eligible.inputs(state, view, time));
     return Step.<DispatchState, DispatchEffect>of(next, send)
         .andThen(
             before ->
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/instance/Instance.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/instance/Instance.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.instance;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import org.parsleyhead.core.api.Endpoint;
@@ -22,6 +23,7 @@
  * @param models the base models that were loaded at the time of the announcement
  * @param adapters the versions of the adapters that were loaded at that time
  * @param announcementNumber the number of the announcement; increases within one run
+ * @param coldFor how long it stays cold from the announcement on; zero if it is not cold
  */
 public record Instance(
     String identifier,
@@ -33,7 +35,8 @@
     boolean draining,
     Set<String> models,
     Map<AdapterKey, Long> adapters,
-    long announcementNumber) {
+    long announcementNumber,
+    Duration coldFor) {
 
   /** Validates the components and copies the collections. */
   public Instance {
@@ -44,6 +47,33 @@
     Preconditions.requirePositive(slots, "slots");
     models = Set.copyOf(models);
     adapters = Map.copyOf(adapters);
+    Preconditions.require(!coldFor.isNegative(), "coldFor", "must not be negative");
+  }
+
+  /** Creates an instance that is not cold. */
+  public Instance(
+      String identifier,
+      long startedAtMilliseconds,
+      String service,
+      Endpoint endpoint,
+      FailureDomainName failureDomain,
+      int slots,
+      boolean draining,
+      Set<String> models,
+      Map<AdapterKey, Long> adapters,
+      long announcementNumber) {
+    this(
+        identifier,
+        startedAtMilliseconds,
+        service,
+        endpoint,
+        failureDomain,
+        slots,
+        draining,
+        models,
+        adapters,
+        announcementNumber,
+        Duration.ZERO);
   }
 
   /** Returns whether another announcement is from the same run of the process. */
@@ -65,6 +95,7 @@
         true,
         models,
         adapters,
-        announcementNumber);
+        announcementNumber,
+        coldFor);
   }
 }
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -17,6 +17,7 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.quarantine.Trait;
 import org.parsleyhead.core.quarantine.TraitReport;
 import org.parsleyhead.core.quarantine.TrialRight;
@@ -38,21 +39,7 @@
   static final Trait PART = new Trait(Trait.Kind.PROMPT_PART, 7);
   static final FailureDomainName NEAR = new FailureDomainName("near");
 
-  private static final DispatchSettings SETTINGS =
-      new DispatchSettings(
-          NEAR,
-          38,
-          Duration.ofMillis(250),
-          Duration.ofMillis(25),
-          Duration.ofMillis(1500),
-          0.2,
-          60,
-          Duration.ofSeconds(10),
-          0.1,
-          0,
-          new SpreadRetryAfter(),
-          WaitPolicy.upToFraction(0.7),
-          TrialRight.inTurn("self"));
+  private static final DispatchSettings SETTINGS = settings("self");
 
   private final DispatchTransition transition = new DispatchTransition(SETTINGS);
   private MonotonicTime now = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
@@ -72,6 +59,25 @@
     return fixture;
   }
 
+  /** Returns the settings of a host. */
+  static DispatchSettings settings(String self) {
+    return new DispatchSettings(
+        NEAR,
+        38,
+        Duration.ofMillis(250),
+        Duration.ofMillis(25),
+        Duration.ofMillis(1500),
+        0.2,
+        60,
+        Duration.ofSeconds(10),
+        0.1,
+        0,
+        new SpreadRetryAfter(),
+        WaitPolicy.upToFraction(0.7),
+        TrialRight.inTurn(self),
+        new PlacementSettings(self, false));
+  }
+
   static ServiceCatalogue catalogue(long version, double rate) {
     return new ServiceCatalogue(
         version, routes(), services(), RequestLimits.INITIAL, List.of(account(rate)));
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryBudgetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryBudgetTests.java
@@ -15,6 +15,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.quarantine.TrialRight;
 
 @DisplayName("The retry budget")
@@ -39,7 +40,8 @@
         0,
         new SpreadRetryAfter(),
         WaitPolicy.upToFraction(0.7),
-        TrialRight.inTurn("self"));
+        TrialRight.inTurn("self"),
+        new PlacementSettings("self", false));
   }
 
   private static MonotonicTime at(double seconds) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
@@ -14,6 +14,7 @@
  * @param stamped whether it carries the stamp of an instance
  * @param leaving whether the instance states that it is about to leave
  * @param refusesFor how long the instance wants no further requests; empty if it does not say
+ * @param coldFor how long the instance stays cold; empty if it is not cold or does not say
  */
 public record ResponseHead(
     Optional<String> requestIdentifier,
@@ -21,10 +22,22 @@
     boolean misdirected,
     boolean stamped,
     boolean leaving,
-    Optional<Duration> refusesFor) {
+    Optional<Duration> refusesFor,
+    Optional<Duration> coldFor) {
+
+  /** Creates the head of a response that does not say whether the instance is cold. */
+  public ResponseHead(
+      Optional<String> requestIdentifier,
+      boolean notRun,
+      boolean misdirected,
+      boolean stamped,
+      boolean leaving,
+      Optional<Duration> refusesFor) {
+    this(requestIdentifier, notRun, misdirected, stamped, leaving, refusesFor, Optional.empty());
+  }
 
   /** Returns whether the instance says something about requests to come. */
   public boolean hasNotice() {
-    return !misdirected && (leaving || refusesFor.isPresent());
+    return !misdirected && (leaving || refusesFor.isPresent() || coldFor.isPresent());
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/AnnouncementLog.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/AnnouncementLog.java
@@ -28,6 +28,7 @@
         previous != null
             && previous.sameRun(instance)
             && previous.draining() == instance.draining()
+            && previous.coldFor().isZero() == instance.coldFor().isZero()
             && previous.models().equals(instance.models());
     if (!unchanged) {
       log.info(
@@ -42,6 +43,8 @@
           instance.startedAtMilliseconds(),
           "draining",
           instance.draining(),
+          "cold_ms",
+          instance.coldFor().toMillis(),
           "models",
           instance.models().size(),
           "revision",
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -28,6 +28,7 @@
 import org.parsleyhead.core.fleet.FleetTransition;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.publication.PublicationEffect;
 import org.parsleyhead.core.publication.PublicationEvent;
 import org.parsleyhead.core.publication.PublicationSettings;
@@ -309,7 +310,14 @@
         settings.allowanceSlack(),
         new SpreadRetryAfter(),
         WaitPolicy.upToFraction(MAXIMUM_WAIT_FRACTION),
-        TrialRight.inTurn(settings.peersEndpoint().toString()));
+        TrialRight.inTurn(settings.peersEndpoint().toString()),
+        placementSettings(settings));
+  }
+
+  private static PlacementSettings placementSettings(GatewaySettings settings) {
+    String self = settings.peersEndpoint().toString();
+    return new PlacementSettings(
+        self, settings.seeds().stream().anyMatch(seed -> !seed.equals(self)));
   }
 
   private static FleetSettings fleetSettings(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -206,7 +206,8 @@
     responseHead = parsed;
     if (parsed.hasNotice()) {
       listener.accept(
-          new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
+          new DispatchEvent.InstanceNotice(
+              send.instance(), parsed.leaving(), parsed.refusesFor(), parsed.coldFor()));
     }
     reusable &=
         HttpUtil.isKeepAlive(head)
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchingHost.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/DispatchingHost.java
@@ -32,6 +32,7 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.quarantine.TrialRight;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.RequestKind;
@@ -230,7 +231,8 @@
         0,
         new SpreadRetryAfter(),
         WaitPolicy.upToFraction(0.7),
-        TrialRight.inTurn("self"));
+        TrialRight.inTurn("self"),
+        new PlacementSettings("self", false));
   }
 
   private static int freePort() throws IOException {
