Requests stay within the home regions of their route and account

Cause: the field home_regions of routes and client accounts was not read, so requests could be sent to servers in any region.

Change: HomeRegions restricts a route and an account; EligibleInstances sends only to servers whose failure domain the setting regions.domains maps to a region that both permit. If no server is left, the request is refused at once (503, not run).

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/EligibleInstances.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/EligibleInstances.java
@@ -4,15 +4,20 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.RegionName;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.placement.ColdSends;
 import org.parsleyhead.core.placement.ColdServer;
+import org.parsleyhead.core.placement.HomeRegions;
+import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.ServiceDefinition;
 
 /**
  * Decides which instances a request may be sent to, whatever their load: none in an evacuated
- * failure domain, and a cold one only at the permitted rate.
+ * failure domain or outside of the home regions of the request, and a cold one only at the
+ * permitted rate.
  *
  * <p>Answers the evacuation of a failure domain, and servers that start under load. Immutable and
  * thread-safe. The decision applies to first and further attempts, to load requests and to
@@ -40,7 +45,7 @@
 
   /** Returns whether a request may be sent to an instance now. */
   boolean allows(DispatchState state, ActiveRequest active, InstanceView view, MonotonicTime time) {
-    return permits(state, view)
+    return permits(state, active, view)
         && cold(state, view, time)
             .map(server -> server.permitsSend(time) && !state.startup().open(time))
             .orElse(true);
@@ -48,8 +53,8 @@
 
   /**
    * Handles a request that has no candidates: refuses it at once if all servers of its service are
-   * evacuated, and lets it wait for the next permitted send if all others are cold. Returns empty
-   * if the request lacks candidates for another reason.
+   * evacuated or outside of its home regions, and lets it wait for the next permitted send if all
+   * others are cold. Returns empty if the request lacks candidates for another reason.
    */
   Optional<Step<DispatchState, DispatchEffect>> withoutCandidates(
       DispatchState state, ActiveRequest active, MonotonicTime time) {
@@ -60,7 +65,8 @@
     if (accepting.isEmpty()) {
       return Optional.empty();
     }
-    List<InstanceView> permitted = accepting.stream().filter(view -> permits(state, view)).toList();
+    List<InstanceView> permitted =
+        accepting.stream().filter(view -> permits(state, active, view)).toList();
     if (permitted.isEmpty()) {
       return Optional.of(
           refuse(
@@ -68,7 +74,10 @@
               active,
               DispatchRefusal.Code.NO_INSTANCE,
               EXPECTED_CHANGE_DELAY,
-              "evacuated=" + state.placement().evacuated().domains(),
+              "evacuated="
+                  + state.placement().evacuated().domains()
+                  + " home_regions="
+                  + homeRegions(active),
               time));
     }
     boolean allCold = permitted.stream().allMatch(view -> cold(state, view, time).isPresent());
@@ -184,8 +193,24 @@
     return cold(state, view, time).map(ColdServer::share).orElse(false);
   }
 
-  private static boolean permits(DispatchState state, InstanceView view) {
-    return !state.placement().evacuated().contains(view.instance().failureDomain());
+  private boolean permits(DispatchState state, ActiveRequest active, InstanceView view) {
+    FailureDomainName domain = view.instance().failureDomain();
+    Optional<RegionName> region = Optional.ofNullable(settings.placement().regions().get(domain));
+    return !state.placement().evacuated().contains(domain)
+        && active.route().homeRegions().allow(region)
+        && active.account().map(account -> account.homeRegions().allow(region)).orElse(true);
+  }
+
+  private static String homeRegions(ActiveRequest active) {
+    HomeRegions ofAccount =
+        active.account().map(AccountLimits::homeRegions).orElse(HomeRegions.ANYWHERE);
+    return active
+        .route()
+        .homeRegions()
+        .and(ofAccount)
+        .regions()
+        .map(Object::toString)
+        .orElse("any");
   }
 
   /** Returns an instance that is cold and whose service limits the sends to cold servers. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/serving/ServiceRoute.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/serving/ServiceRoute.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.parsleyhead.core.api.Preconditions;
+import org.parsleyhead.core.placement.HomeRegions;
 
 /**
  * Maps the requests for a host name and a path prefix to services.
@@ -20,6 +21,7 @@
  * @param services the services with their weights
  * @param attempts the maximum number of attempts that may have run a request
  * @param open whether requests need no key
+ * @param homeRegions the regions in which its requests may be served
  */
 public record ServiceRoute(
     String name,
@@ -32,7 +34,8 @@
     int priority,
     List<WeightedService> services,
     int attempts,
-    boolean open) {
+    boolean open,
+    HomeRegions homeRegions) {
 
   /** Validates the components and copies the list. */
   public ServiceRoute {
@@ -43,6 +46,35 @@
     Preconditions.requirePositive(timeout.toNanos(), "timeout");
     Preconditions.requirePositive(attempts, "attempts");
     services = List.copyOf(Preconditions.requireNotEmpty(services, "services"));
+    Preconditions.requireNonNull(homeRegions, "homeRegions");
+  }
+
+  /** Creates a route whose requests may be served anywhere. */
+  public ServiceRoute(
+      String name,
+      String host,
+      String prefix,
+      RequestKind kind,
+      Duration timeout,
+      Duration latencyTarget,
+      Duration eventGapTarget,
+      int priority,
+      List<WeightedService> services,
+      int attempts,
+      boolean open) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeout,
+        latencyTarget,
+        eventGapTarget,
+        priority,
+        services,
+        attempts,
+        open,
+        HomeRegions.ANYWHERE);
   }
 
   /**
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -12,6 +12,7 @@
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.RegionName;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
@@ -38,6 +39,7 @@
   static final AdapterKey ADAPTER = new AdapterKey("base", "a1");
   static final Trait PART = new Trait(Trait.Kind.PROMPT_PART, 7);
   static final FailureDomainName NEAR = new FailureDomainName("near");
+  static final RegionName HOME = new RegionName("home");
 
   private static final DispatchSettings SETTINGS = settings("self");
 
@@ -75,7 +77,7 @@
         new SpreadRetryAfter(),
         WaitPolicy.upToFraction(0.7),
         TrialRight.inTurn(self),
-        new PlacementSettings(self, false));
+        new PlacementSettings(self, false, Map.of(NEAR, HOME)));
   }
 
   static ServiceCatalogue catalogue(long version, double rate) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -317,7 +317,7 @@
   private static PlacementSettings placementSettings(GatewaySettings settings) {
     String self = settings.peersEndpoint().toString();
     return new PlacementSettings(
-        self, settings.seeds().stream().anyMatch(seed -> !seed.equals(self)));
+        self, settings.seeds().stream().anyMatch(seed -> !seed.equals(self)), settings.regions());
   }
 
   private static FleetSettings fleetSettings(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettings.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettings.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.HostName;
+import org.parsleyhead.core.api.RegionName;
 
 /**
  * The settings of a gateway host.
@@ -34,6 +36,7 @@
  * @param prefillTokensPerMillisecond the prefill rate of a model server
  * @param coldLoadDuration the load time of an adapter that the server did not hold recently
  * @param warmLoadDuration the load time of an adapter that the server held recently
+ * @param regions the region of each failure domain
  */
 public record GatewaySettings(
     HostName host,
@@ -56,10 +59,12 @@
     double allowanceSlack,
     double prefillTokensPerMillisecond,
     Duration coldLoadDuration,
-    Duration warmLoadDuration) {
+    Duration warmLoadDuration,
+    Map<FailureDomainName, RegionName> regions) {
 
-  /** Copies the seeds. */
+  /** Copies the collections. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
+    regions = Map.copyOf(regions);
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettingsReader.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewaySettingsReader.java
@@ -1,12 +1,15 @@
 package org.parsleyhead.gateway.process;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.parsleyhead.core.api.Endpoint;
 import org.parsleyhead.core.api.FailureDomainName;
 import org.parsleyhead.core.api.HostName;
 import org.parsleyhead.core.api.InvalidValueException;
+import org.parsleyhead.core.api.RegionName;
 import org.parsleyhead.runtime.settings.SettingsReader;
 
 /** Reads and validates the settings of a gateway host. Stateless and thread-safe. */
@@ -33,6 +36,7 @@
   /** The gap that servers without fencing need between the orders of two hosts. */
   private static final Duration DEFAULT_LEASE_GAP = Duration.ofMillis(3_300);
 
+  private static final String REGIONS = "regions.domains";
   private static final int PERCENT_PER_CORE = 100;
   private static final double DEFAULT_RETRY_RATIO = 0.2;
   private static final double DEFAULT_RETRY_BURST = 52;
@@ -90,7 +94,8 @@
                 100_000,
                 DEFAULT_PREFILL_TOKENS_PER_MILLISECOND),
             reader.duration("engines.cold_adapter_load", DEFAULT_COLD_LOAD_DURATION),
-            reader.duration("engines.warm_adapter_load", DEFAULT_WARM_LOAD_DURATION));
+            reader.duration("engines.warm_adapter_load", DEFAULT_WARM_LOAD_DURATION),
+            regions(reader));
     if (settings.callersEndpoint().equals(settings.peersEndpoint())) {
       reader.reject("peers.endpoint", "must differ from callers.endpoint");
     }
@@ -122,6 +127,26 @@
     return reader.value(path, Endpoint::parse, MISSING_ENDPOINT);
   }
 
+  /** Returns the regions of the failure domains, each set as {@code DOMAIN=REGION}. */
+  private static Map<FailureDomainName, RegionName> regions(SettingsReader reader) {
+    Map<FailureDomainName, RegionName> regions = new HashMap<>();
+    for (String entry : reader.texts(REGIONS)) {
+      int separator = entry.indexOf('=');
+      try {
+        FailureDomainName domain =
+            new FailureDomainName(entry.substring(0, Math.max(0, separator)));
+        RegionName region = new RegionName(entry.substring(separator + 1));
+        RegionName former = regions.putIfAbsent(domain, region);
+        if (former != null && !former.equals(region)) {
+          reader.reject(REGIONS, "must not assign " + domain + " to two regions");
+        }
+      } catch (InvalidValueException exception) {
+        reader.reject(REGIONS, "must hold texts of the form DOMAIN=REGION: " + entry);
+      }
+    }
+    return regions;
+  }
+
   private static List<String> seeds(SettingsReader reader) {
     List<String> seeds = reader.texts("peers.seeds");
     for (String seed : seeds) {
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/UnreadAnswerAtStopTests.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/process/UnreadAnswerAtStopTests.java
@@ -77,7 +77,8 @@
         0,
         38,
         Duration.ofMillis(250),
-        Duration.ofMillis(25));
+        Duration.ofMillis(25),
+        Map.of());
   }
 
   private static DecodedItem decode(PublishedItem item, int serverPort) {
--- a/review/harness/org/parsleyhead/review/HostProcess.java
+++ b/review/harness/org/parsleyhead/review/HostProcess.java
@@ -136,7 +136,7 @@
     String template = Files.readString(Path.of("deploy/gateway.toml"));
     String rendered =
         PLACEHOLDER
-            .matcher(template)
+            .matcher(template.replaceAll("\\{\\{#zones}}.*\\{\\{/zones}}", ""))
             .replaceAll(match -> Matcher.quoteReplacement(values.get(match.group(1))));
     return rendered.replace("127.0.0.1:9464", "127.0.0.1:" + metrics);
   }
