--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/FakeClaimant.java
@@ -151,7 +151,7 @@
 
   /** Receives a tick; returns the effects. */
   List<FleetEffect> tick() {
-    return apply(new FleetEvent.Tick(0, 1, Map.of(), Map.of(), Map.of()));
+    return apply(new FleetEvent.Tick(0, 0, 1, Map.of(), Map.of(), Map.of()));
   }
 
   private List<FleetEffect> apply(FleetEvent event) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/api/ResponseHead.java
@@ -16,6 +16,7 @@
  * @param leaving whether the instance states that it is about to leave
  * @param refusesFor how long the instance wants no further requests; empty if it does not say
  * @param load the load that the instance reports; empty if it reports none
+ * @param coldFor how long the instance stays cold; empty if it is not cold or does not say
  */
 public record ResponseHead(
     Optional<String> requestIdentifier,
@@ -24,9 +25,10 @@
     boolean stamped,
     boolean leaving,
     Optional<Duration> refusesFor,
-    Optional<ReportedLoad> load) {
+    Optional<ReportedLoad> load,
+    Optional<Duration> coldFor) {
 
-  /** Creates the head of a response that reports no load. */
+  /** Creates the head of a response that states neither a load nor whether the instance is cold. */
   public ResponseHead(
       Optional<String> requestIdentifier,
       boolean notRun,
@@ -34,11 +36,19 @@
       boolean stamped,
       boolean leaving,
       Optional<Duration> refusesFor) {
-    this(requestIdentifier, notRun, misdirected, stamped, leaving, refusesFor, Optional.empty());
+    this(
+        requestIdentifier,
+        notRun,
+        misdirected,
+        stamped,
+        leaving,
+        refusesFor,
+        Optional.empty(),
+        Optional.empty());
   }
 
   /** Returns whether the instance says something about requests to come. */
   public boolean hasNotice() {
-    return !misdirected && (leaving || refusesFor.isPresent());
+    return !misdirected && (leaving || refusesFor.isPresent() || coldFor.isPresent());
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -223,7 +223,8 @@
     reportedLoad = parsed.misdirected() ? Optional.empty() : parsed.load();
     if (parsed.hasNotice()) {
       listener.accept(
-          new DispatchEvent.InstanceNotice(send.instance(), parsed.leaving(), parsed.refusesFor()));
+          new DispatchEvent.InstanceNotice(
+              send.instance(), parsed.leaving(), parsed.refusesFor(), parsed.coldFor()));
     }
     reusable &=
         HttpUtil.isKeepAlive(head)
