Live hosts that the dispatch duty hears of include the host itself

Cause: DispatchEvent.LiveHostsChanged says that its hosts include this one, but the fleet duty reported the others only. No host of a fleet then had a share of a cold server (FailureDomainTests: 0 runs at a cold server in 6 s), nor ever the turn to try a suspected request.

Change: FleetState.hostsChanged adds the host itself, for both senders of the effect.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetEffect.java
@@ -76,7 +76,8 @@
   record OwnersKnown(Set<String> instances, Duration takeoverDelay) implements FleetEffect {}
 
   /**
-   * Reports that the live or known hosts have changed; the number of known hosts includes this one.
+   * Reports that the live or known hosts have changed; the live hosts and the number of known hosts
+   * include this one.
    */
   record HostsChanged(List<String> live, int known) implements FleetEffect {}
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetState.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.fleet;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -78,11 +79,22 @@
         new Published(HashTreePMap.empty(), ServiceCatalogue.EMPTY, AdapterVersions.NONE));
   }
 
-  /** Returns the endpoints of the live hosts. */
+  /** Returns the endpoints of the other hosts that are alive. */
   public List<String> liveHosts() {
     return hosts.values().stream().filter(HostView::alive).map(HostView::endpoint).toList();
   }
 
+  /**
+   * Returns the report of the live and the known hosts, this one included.
+   *
+   * @param self the endpoint of this host
+   */
+  FleetEffect.HostsChanged hostsChanged(String self) {
+    List<String> live = new ArrayList<>(liveHosts());
+    live.add(self);
+    return new FleetEffect.HostsChanged(List.copyOf(live), knownHosts());
+  }
+
   /** Returns the number of hosts that count for majorities, this one included. */
   public int knownHosts() {
     return hosts.size() + 1;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/FleetTransition.java
@@ -361,8 +361,8 @@
     return state.withStatistics(state.statistics().plus(heartbeat.endpoint(), next));
   }
 
-  private static FleetEffect hostsChanged(FleetState state) {
-    return new FleetEffect.HostsChanged(state.liveHosts(), state.knownHosts());
+  private FleetEffect hostsChanged(FleetState state) {
+    return state.hostsChanged(settings.self());
   }
 
   private static FleetEffect logEvent(String event, String subject) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/SilentHosts.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/SilentHosts.java
@@ -57,7 +57,7 @@
     }
     next = next.withHosts(hosts);
     if (changed) {
-      effects.add(new FleetEffect.HostsChanged(next.liveHosts(), next.knownHosts()));
+      effects.add(next.hostsChanged(settings.self()));
     }
     return new Step<>(next, effects);
   }
