--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -185,12 +185,20 @@
     return next.withInstances(table);
   }
 
-  /** Dispatches waiting requests again, which may be refused at once or sent now. */
+  /**
+   * Dispatches the requests again that wait for a server, or for a load in the failure domain: they
+   * may have to be refused at once, or may be sent now.
+   */
   private Step<DispatchState, DispatchEffect> evacuationChanged(
       DispatchState state, DispatchEvent.EvacuationChanged changed, MonotonicTime time) {
-    return dispatcher
-        .loads()
-        .onOwnersChanged(placement.onEvacuationChanged(state, changed, time), time);
+    Step<DispatchState, DispatchEffect> step =
+        dispatcher
+            .loads()
+            .onOwnersChanged(placement.onEvacuationChanged(state, changed, time), time);
+    for (ActiveRequest active : placement.loadingInEvacuated(step.state())) {
+      step = step.andThen(next -> dispatcher.dispatch(next, active, time));
+    }
+    return step;
   }
 
   private static DispatchState versionDeclared(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlacementHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlacementHandler.java
@@ -1,11 +1,13 @@
 package org.parsleyhead.core.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.placement.ColdSends;
 import org.parsleyhead.core.placement.ColdServers;
+import org.parsleyhead.core.placement.EvacuatedDomains;
 import org.parsleyhead.core.placement.PlacementState;
 import org.parsleyhead.core.serving.ServiceDefinition;
 
@@ -93,6 +95,22 @@
                     notice.instance().identifier(), notice.coldFor().get(), shares(state), time));
   }
 
+  /** Returns the requests that wait for a load at an instance in an evacuated failure domain. */
+  List<ActiveRequest> loadingInEvacuated(DispatchState state) {
+    EvacuatedDomains evacuated = state.placement().evacuated();
+    return state.requests().values().stream()
+        .filter(active -> active.progress().phase() == Phase.LOADING)
+        .filter(
+            active ->
+                active
+                    .progress()
+                    .instance()
+                    .flatMap(state.instances()::find)
+                    .map(view -> evacuated.contains(view.instance().failureDomain()))
+                    .orElse(false))
+        .toList();
+  }
+
   /** Recomputes the shares of this host after the live hosts have changed. */
   DispatchState onHostsChanged(DispatchState state, MonotonicTime time) {
     return withCold(state, state.placement().cold().withShares(shares(state), time));
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -34,6 +34,10 @@
   private static final MetricName SILENCE =
       MetricName.of("parsleyhead_publication_silence_seconds");
 
+  private static final MetricName EVACUATED = MetricName.of("parsleyhead_evacuated_domains");
+  private static final MetricName COLD_SERVERS = MetricName.of("parsleyhead_cold_servers");
+  private static final MetricName COLD_SENDS = MetricName.of("parsleyhead_cold_sends_total");
+
   private static final MetricName CONNECTIONS =
       MetricName.of("parsleyhead_upstream_connections_total");
 
@@ -52,6 +56,20 @@
     metrics.gauge(SILENCE, () -> silence.get().toMillis() / MILLISECONDS_PER_SECOND);
   }
 
+  /**
+   * Registers the gauges of the servers that may not be used, or only in part.
+   *
+   * @param evacuated the number of evacuated failure domains
+   * @param coldServers the number of servers that are cold
+   * @param coldSends the number of requests that this host has sent to cold servers
+   */
+  void registerPlacementGauges(
+      IntSupplier evacuated, LongSupplier coldServers, LongSupplier coldSends) {
+    metrics.gauge(EVACUATED, evacuated::getAsInt);
+    metrics.gauge(COLD_SERVERS, coldServers::getAsLong);
+    metrics.gauge(COLD_SENDS, coldSends::getAsLong);
+  }
+
   /** Registers the number of connections to instances that were opened so far. */
   void registerConnections(LongSupplier opened) {
     metrics.gauge(CONNECTIONS, opened::getAsLong);
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -193,6 +193,10 @@
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
     metrics.registerConnections(upstreams::openedConnections);
+    metrics.registerPlacementGauges(
+        () -> dispatch.state().placement().evacuated().size(),
+        () -> dispatch.state().placement().cold().count(clock.now()),
+        () -> dispatch.state().placement().cold().sends());
     metrics.registerPublicationGauges(
         () -> publication.state().revision(),
         () -> clock.now().since(publication.state().answeredAt()));
