--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -108,7 +108,7 @@
       return quarantine.onTick(removeExpired(state, time), time);
     }
     if (event instanceof DispatchEvent.LiveHostsChanged changed) {
-      return quarantine.onHostsChanged(liveHostsChanged(state, changed), time);
+      return quarantine.onHostsChanged(liveHostsChanged(state, changed, time), time);
     }
     return Step.of(applyUpdate(state, event, time));
   }
@@ -231,7 +231,7 @@
     state.peers().loads().values().forEach(loads -> affected.addAll(loads.keySet()));
     PeerTable peers =
         state.peers().withReport(reported.host(), reported.aggregated(), reported.loads());
-    return withPeerLoads(state.withBuckets(buckets).withPeers(peers), affected);
+    return withPeerLoads(state.withBuckets(buckets).withPeers(peers), affected, time);
   }
 
   /** Returns the name of a source; totals aggregated by a hub and its own usage are separate. */
@@ -240,7 +240,7 @@
   }
 
   private static DispatchState liveHostsChanged(
-      DispatchState state, DispatchEvent.LiveHostsChanged changed) {
+      DispatchState state, DispatchEvent.LiveHostsChanged changed, MonotonicTime time) {
     PeerTable peers =
         state.peers().withLiveHosts(changed.knownHostCount(), Set.copyOf(changed.liveHosts()));
     Set<String> affected = new HashSet<>();
@@ -253,16 +253,17 @@
                 affected.addAll(loads.keySet());
               }
             });
-    return withPeerLoads(state.withPeers(peers), affected);
+    return withPeerLoads(state.withPeers(peers), affected, time);
   }
 
-  private static DispatchState withPeerLoads(DispatchState state, Set<String> affected) {
+  private static DispatchState withPeerLoads(
+      DispatchState state, Set<String> affected, MonotonicTime time) {
     InstanceTable table = state.instances();
     for (String instance : affected) {
       InstanceLoad sum = state.peers().loadAt(instance);
       Optional<InstanceView> known = table.find(instance);
       if (known.isPresent() && !known.get().peerLoad().equals(sum)) {
-        table = table.with(known.get().withPeerLoad(sum));
+        table = table.with(known.get().withPeerLoad(sum, time));
       }
     }
     return state.withInstances(table);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceView.java
@@ -122,9 +122,17 @@
         instance, removedAt, load, peerLoad, health, adapters, prefixCache, owned, condition);
   }
 
-  InstanceView withPeerLoad(InstanceLoad load) {
+  InstanceView withPeerLoad(InstanceLoad load, MonotonicTime time) {
     return new InstanceView(
-        instance, removedAt, ownLoad, load, health, adapters, prefixCache, owned, condition);
+        instance,
+        removedAt,
+        ownLoad,
+        load,
+        health,
+        adapters,
+        prefixCache,
+        owned,
+        condition.withOtherHosts(load.running(), time));
   }
 
   InstanceView withHealth(InstanceHealth next) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlainExpectation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlainExpectation.java
@@ -23,6 +23,9 @@
    */
   private static final double UTILIZATION_FRACTION = 0.5;
 
+  /** The longest requests take a third longer than the mean, 40 ms instead of 30 ms. */
+  private static final double USABLE_TARGET_FRACTION = 0.75;
+
   private PlainExpectation() {}
 
   /** Returns the time that a request takes at the usual pace once it runs. */
@@ -33,11 +36,13 @@
   /** Returns the requests per slot at an instance, including those that wait. */
   static double utilization(InstanceView view, MonotonicTime time) {
     int slots = view.instance().slots();
-    int known = view.totalLoad().running();
     return view.condition()
         .load()
-        .map(told -> told.utilization(view.ownLoad().running(), known, slots, time))
-        .orElse((double) known / slots);
+        .map(
+            told ->
+                told.utilization(
+                    view.ownLoad().running(), view.condition().otherHosts().at(time), slots, time))
+        .orElse((double) view.totalLoad().running() / slots);
   }
 
   /** Returns the time until a further request runs, as a multiple of the time that it takes. */
@@ -60,8 +65,12 @@
         + multiple * workMilliseconds(request);
   }
 
-  /** Returns the cost up to which the response is expected within the latency target. */
+  /**
+   * Returns the cost up to which the response is expected within the latency target, even if the
+   * request takes longer than most.
+   */
   static double costWithinTarget(ActiveRequest request) {
-    return request.route().latencyTarget().toMillis() - workMilliseconds(request);
+    return request.route().latencyTarget().toMillis() * USABLE_TARGET_FRACTION
+        - workMilliseconds(request);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
@@ -14,10 +14,12 @@
  *
  * @param load the newest reported load; empty if the instance has reported none
  * @param pace the estimated pace
+ * @param otherHosts the requests of the other hosts there, which they report themselves
  */
-record ServerCondition(Optional<ToldLoad> load, ServerPace pace) {
+record ServerCondition(Optional<ToldLoad> load, ServerPace pace, AveragedRunning otherHosts) {
 
-  static final ServerCondition UNREPORTED = new ServerCondition(Optional.empty(), ServerPace.USUAL);
+  static final ServerCondition UNREPORTED =
+      new ServerCondition(Optional.empty(), ServerPace.USUAL, AveragedRunning.NONE);
 
   boolean reported() {
     return load.isPresent();
@@ -45,7 +47,9 @@
     if (report.isEmpty()) {
       return reported()
           ? new ServerCondition(
-              load, pace.withResponse(OptionalDouble.empty(), Duration.ZERO, measured, floor, time))
+              load,
+              pace.withResponse(OptionalDouble.empty(), Duration.ZERO, measured, floor, time),
+              otherHosts)
           : this;
     }
     ReportedLoad newest = report.get();
@@ -53,12 +57,19 @@
         load.map(known -> known.withReport(newest, ownRunning, time))
             .orElseGet(() -> ToldLoad.first(newest, ownRunning, time));
     return new ServerCondition(
-        Optional.of(told), pace.withResponse(newest.pace(), newest.age(), measured, floor, time));
+        Optional.of(told),
+        pace.withResponse(newest.pace(), newest.age(), measured, floor, time),
+        otherHosts);
   }
 
   /** Returns the condition after a response has contradicted or confirmed the reported load. */
   ServerCondition withEvidence(boolean contradicted) {
-    return new ServerCondition(load.map(told -> told.withEvidence(contradicted)), pace);
+    return new ServerCondition(load.map(told -> told.withEvidence(contradicted)), pace, otherHosts);
+  }
+
+  /** Returns the condition after the other hosts have reported their requests. */
+  ServerCondition withOtherHosts(int running, MonotonicTime time) {
+    return new ServerCondition(load, pace, otherHosts.withCount(running, time));
   }
 
   /** Returns the values that decisions depend on, for the log; empty if nothing was reported. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ToldLoad.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ToldLoad.java
@@ -55,16 +55,16 @@
    * requests of this host itself.
    *
    * @param own the requests of this host at the instance
-   * @param known the requests of all hosts at the instance, as far as they are known here
+   * @param others the requests of the other hosts there, as they have reported them
    * @param announcedSlots the slots that the instance announced
    */
-  double utilization(int own, int known, int announcedSlots, MonotonicTime time) {
+  double utilization(int own, double others, int announcedSlots, MonotonicTime time) {
     double told =
         Math.min(
             MAXIMUM_UTILIZATION,
             Math.max(0.0, report.running() + report.waiting() + own - ownRunning) / report.slots());
     double weight = weight(time);
-    double blended = weight * told + (1 - weight) * known / announcedSlots;
+    double blended = weight * told + (1 - weight) * (own + others) / announcedSlots;
     return Math.max(blended, (double) own / Math.max(report.slots(), announcedSlots));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/TwoRandomChoices.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/TwoRandomChoices.java
@@ -25,12 +25,11 @@
    */
   static Optional<Candidate> choose(List<Candidate> candidates, long hash, double limit) {
     int count = candidates.size();
-    if (count <= 2) {
-      return candidates.stream().min(BY_COST);
+    if (count <= 1) {
+      return candidates.stream().findFirst();
     }
     int first = (int) Long.remainderUnsigned(hash, count);
-    int other = (int) Long.remainderUnsigned(Long.divideUnsigned(hash, count), count - 1);
-    int second = other < first ? other : other + 1;
+    int second = (int) Long.remainderUnsigned(Long.divideUnsigned(hash, count), count);
     Candidate better =
         BY_COST.compare(candidates.get(first), candidates.get(second)) <= 0
             ? candidates.get(first)
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/DispatchFixture.java
@@ -72,6 +72,44 @@
     return fixture;
   }
 
+  /** Returns a fixture of a host that knows the servers of the plain service. */
+  static DispatchFixture ofPlainPool(Duration latencyTarget, Instance... instances) {
+    DispatchFixture fixture = new DispatchFixture();
+    ServiceRoute route =
+        new ServiceRoute(
+            "book",
+            HOST,
+            "/book/",
+            RequestKind.NON_IDEMPOTENT,
+            Duration.ofSeconds(1),
+            latencyTarget,
+            Duration.ofMillis(250),
+            1,
+            List.of(new WeightedService("plain", 1)),
+            1,
+            false);
+    fixture.apply(
+        new DispatchEvent.CatalogueChanged(
+            new ServiceCatalogue(
+                1, List.of(route), services(), RequestLimits.INITIAL, List.of(account(1e9)))));
+    fixture.announce(instances);
+    return fixture;
+  }
+
+  static Instance plainWithSlots(String name, int slots) {
+    return new Instance(
+        name,
+        1,
+        "plain",
+        Endpoint.parse("10.0.0.1:80"),
+        NEAR,
+        slots,
+        false,
+        Set.of("base"),
+        Map.of(),
+        1);
+  }
+
   static ServiceCatalogue catalogue(long version, double rate) {
     return new ServiceCatalogue(
         version, routes(), services(), RequestLimits.INITIAL, List.of(account(rate)));
@@ -147,6 +185,12 @@
     now = now.plus(duration);
   }
 
+  /** Sets the clock. */
+  DispatchFixture at(MonotonicTime time) {
+    now = time;
+    return this;
+  }
+
   MonotonicTime now() {
     return now;
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -2,10 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
+import org.parsleyhead.core.dispatch.ServiceCondition;
 import org.parsleyhead.core.quarantine.Standing;
 import org.parsleyhead.runtime.duty.Ring;
 import org.parsleyhead.runtime.metrics.MetricName;
@@ -38,6 +40,7 @@
       MetricName.of("parsleyhead_upstream_connections_total");
 
   private final Metrics metrics = new Metrics(new MetricRegistry());
+  private volatile Runnable update = () -> {};
 
   /** Registers the gauges, whose values are read whenever the metrics are rendered. */
   void registerGauges(IntSupplier active, IntSupplier liveHosts, LongSupplier catalogueVersion) {
@@ -57,6 +60,11 @@
     metrics.gauge(CONNECTIONS, opened::getAsLong);
   }
 
+  /** Registers the load and the pace that servers report, by service. */
+  void registerServerConditions(Supplier<Map<String, ServiceCondition>> conditions) {
+    update = new ServerConditionGauges(metrics, conditions)::update;
+  }
+
   void registerRing(Ring<?> ring) {
     metrics.registerRing(ring);
   }
@@ -98,6 +106,7 @@
   }
 
   String render() {
+    update.run();
     return metrics.render();
   }
 }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -21,6 +21,7 @@
 import org.parsleyhead.core.dispatch.DispatchState;
 import org.parsleyhead.core.dispatch.DispatchTransition;
 import org.parsleyhead.core.dispatch.FailureIsolation;
+import org.parsleyhead.core.dispatch.ServiceCondition;
 import org.parsleyhead.core.fleet.FleetEffect;
 import org.parsleyhead.core.fleet.FleetEvent;
 import org.parsleyhead.core.fleet.FleetSettings;
@@ -191,6 +192,7 @@
         () -> dispatch.state().activeRequests(),
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
+    metrics.registerServerConditions(() -> ServiceCondition.of(dispatch.state(), clock.now()));
     metrics.registerConnections(upstreams::openedConnections);
     metrics.registerPublicationGauges(
         () -> publication.state().revision(),
--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
@@ -6,15 +6,17 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.parsleyhead.core.dispatch.DispatchEffect;
 import org.parsleyhead.core.dispatch.DispatchRefusal;
+import org.parsleyhead.core.dispatch.ReportedLoad;
 import org.parsleyhead.core.dispatch.ServingRequest;
 import org.parsleyhead.gateway.api.HttpDialect;
 import org.parsleyhead.gateway.api.ResponseHead;
 
 /**
- * A dialect with the headers Id, Not-Run, Stamp, Leaving and Retry-After. Stateless and
- * thread-safe.
+ * A dialect with the headers Id, Not-Run, Stamp, Leaving, Retry-After and Load, which holds the
+ * running requests; the status 421 is misdirected. Stateless and thread-safe.
  */
 final class FakeHttpDialect implements HttpDialect {
 
@@ -44,12 +46,14 @@
     return new ResponseHead(
         Optional.ofNullable(headers.get(IDENTIFIER)),
         headers.contains("Not-Run"),
-        false,
+        response.status().code() == 421,
         headers.contains("Stamp"),
         headers.contains("Leaving"),
-        Optional.ofNullable(headers.get("Retry-After"))
-            .map(Long::valueOf)
-            .map(Duration::ofSeconds));
+        Optional.ofNullable(headers.get("Retry-After")).map(Long::valueOf).map(Duration::ofSeconds),
+        Optional.ofNullable(headers.get("Load"))
+            .map(Integer::valueOf)
+            .map(
+                running -> new ReportedLoad(running, 0, 8, OptionalDouble.empty(), Duration.ZERO)));
   }
 
   @Override
