End attempts at servers that send an invalid status

The decoder takes any number for a status. The statuses 000, 099, 0 and 20 were taken for interim responses, so that the attempt did not end; 600, 999 and 2000 ended as a failure that kept that status, which could reach the caller; 0200 and +200 counted as 200. A status line is now valid only with three digits from 100 to 599; all else ends the attempt as broken, without a status.

--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamAttempt.java
@@ -117,7 +117,7 @@
       return;
     }
     HttpHeaders headers = dialect.upstreamHeaders(exchange.head(), send, exchange.lastEvent());
-    connected.attach(this, send.request().identifier());
+    connected.attach(this, send.request().identifier(), exchange.head().method());
     channel.writeAndFlush(
         MessageHeads.request(exchange.head(), exchange.body(), headers), channel.voidPromise());
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/upstreams/UpstreamConnection.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
@@ -56,11 +56,11 @@
    * Attaches the handler of an attempt, behind a codec that has read nothing yet, and records that
    * its request is written.
    */
-  void attach(ChannelHandler attempt, String identifier) {
+  void attach(ChannelHandler attempt, String identifier, HttpMethod method) {
     requestWritten(identifier);
     IdleConnectionHandler.removeFrom(channel);
     UnansweredByteLimit.requestWritten(channel);
-    channel.pipeline().addLast(codec()).addLast(attempt);
+    channel.pipeline().addLast(codec(method)).addLast(attempt);
   }
 
   /**
@@ -71,18 +71,17 @@
   void detach(ChannelHandler attempt, IdleConnectionHandler idleHandler) {
     channel.pipeline().remove(attempt);
     channel.pipeline().addLast(idleHandler);
-    channel.pipeline().remove(HttpClientCodec.class);
+    channel.pipeline().remove(UpstreamCodec.class);
     channel.config().setAutoRead(true);
   }
 
-  private static HttpClientCodec codec() {
-    return new HttpClientCodec(
+  private static UpstreamCodec codec(HttpMethod method) {
+    return new UpstreamCodec(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAXIMUM_INITIAL_LINE_BYTES)
             .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
             .setMaxChunkSize(MAXIMUM_CHUNK_BYTES),
-        false,
-        false);
+        method);
   }
 
   /** Returns whether a request was written to it. */
