Fail attempts of the entry host at upstreams that send an invalid status

The entry host relayed the statuses 000, 099, 0, 20, 600, 999 and 2000 as responses. A status outside 100 to 599 now fails the attempt after the write and closes the connection.

--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AttemptHandler.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AttemptHandler.java
@@ -17,6 +17,9 @@
  */
 final class AttemptHandler implements AsyncHandler<Void> {
 
+  private static final int FIRST_STATUS = 100;
+  private static final int LAST_STATUS = 599;
+
   private final Exchange exchange;
   private final ResponseRelay relay;
   private final MonotonicClock clock;
@@ -43,9 +46,13 @@
     written = true;
   }
 
+  /** Reads the status; an exception ends the attempt and closes the connection. */
   @Override
   public State onStatusReceived(HttpResponseStatus received) {
     status = received.getStatusCode();
+    if (status < FIRST_STATUS || status > LAST_STATUS) {
+      throw new UpstreamException("the upstream sent an invalid status");
+    }
     return State.CONTINUE;
   }
 
