Relay responses without any header in the entry host

The HTTP client does not call the handler for empty headers. The relay then had no head, its end failed with a NullPointerException, and the caller waited until its own time-out. The head is now passed on with the first part of the body or the end.

InvalidResponseTests.completesWithoutHeaders: 2 of 2 cases had no event for 20 s before, none fails after.

--- a/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AttemptHandler.java
+++ b/parsleyhead-entry/src/main/java/org/parsleyhead/entry/upstream/AttemptHandler.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.entry.upstream;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
@@ -27,6 +28,7 @@
   private volatile boolean tooLate;
   private volatile boolean written;
   private int status;
+  private boolean headPassed;
 
   AttemptHandler(
       Exchange exchange, ResponseRelay relay, MonotonicClock clock, MonotonicTime writeBefore) {
@@ -58,14 +60,13 @@
 
   @Override
   public State onHeadersReceived(HttpHeaders headers) {
-    int receivedStatus = status;
-    HttpHeaders copy = headers.copy();
-    exchange.execute(() -> relay.onHead(receivedStatus, copy));
+    passHead(headers.copy());
     return State.CONTINUE;
   }
 
   @Override
   public State onBodyPartReceived(HttpResponseBodyPart part) {
+    passHeadWithoutHeaders();
     byte[] bytes = part.getBodyPartBytes();
     if (bytes.length > 0) {
       exchange.execute(() -> relay.onPart(bytes));
@@ -80,6 +81,19 @@
     exchange.execute(() -> relay.onFailure(stage, reason));
   }
 
+  /** Passes on a head without headers, of which the library does not call this handler. */
+  private void passHeadWithoutHeaders() {
+    if (!headPassed && status > 0) {
+      passHead(new DefaultHttpHeaders());
+    }
+  }
+
+  private void passHead(HttpHeaders headers) {
+    headPassed = true;
+    int receivedStatus = status;
+    exchange.execute(() -> relay.onHead(receivedStatus, headers));
+  }
+
   private FailureStage stage() {
     if (tooLate) {
       return FailureStage.TOO_LATE;
@@ -89,6 +103,7 @@
 
   @Override
   public Void onCompleted() {
+    passHeadWithoutHeaders();
     exchange.execute(relay::onEnd);
     return null;
   }
--- a/parsleyhead-entry/src/test/java/org/parsleyhead/entry/callers/InvalidResponseTests.java
+++ b/parsleyhead-entry/src/test/java/org/parsleyhead/entry/callers/InvalidResponseTests.java
@@ -173,4 +173,14 @@
     serve("HTTP/1.1 200 OK\r\nServer: s\r\n\r\nwhole", 0, false);
     assertInstanceOf(RequestEvent.AnswerFinished.class, ending(0));
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "whole"})
+  @DisplayName(
+      "without any header is complete, which guards against a caller that waits for a response"
+          + " that was received")
+  void completesWithoutHeaders(String body) throws Exception {
+    serve("HTTP/1.1 200 OK\r\n\r\n" + body, 0, false);
+    assertInstanceOf(RequestEvent.AnswerFinished.class, ending(0));
+  }
 }
