Herd avoidance among holders, copies by latency target

Cause: all hosts selected the same lowest-cost server for a popular adapter until reports showed otherwise (one server received 2.3 times the mean arrivals), and a further copy was ordered whenever it was expected to be 300 ms faster.

Change: HolderSelection uses the cheaper one of the two holders that rendezvous hashing prefers, by shared prefix if that is most of the prompt, else by request, as long as it meets the latency target; otherwise the lowest cost with an uncertainty for unreported load. CopyPolicy orders a further copy only if no holder meets the target. The penalty is waived if the load meets it and the adapter has recent demand at this host. The weights use the cached hash codes of the identifiers.

Result: the existing tests of the package dispatch pass.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceChoice.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceChoice.java
@@ -15,13 +15,13 @@
    * @param request the request
    * @param service the definition of its service
    * @param candidates the instances that it may be sent to
-   * @param loadTimes the observed load times of adapters
+   * @param context the observations of this host
    * @param time the current time
    */
   Optional<Candidate> choose(
       ActiveRequest request,
       Optional<ServiceDefinition> service,
       Collection<InstanceView> candidates,
-      LoadTimeEstimate loadTimes,
+      PlacementContext context,
       MonotonicTime time);
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/InstanceTable.java
@@ -16,16 +16,22 @@
  * @param byService the instances of each service, by identifier
  * @param owned the identifiers of the instances that have a live owner
  * @param loadTimes the load times of adapters as observed at these instances
+ * @param demand the requests that were sent to them recently
  */
 record InstanceTable(
     PMap<String, InstanceView> byIdentifier,
     PMap<String, PMap<String, InstanceView>> byService,
     Set<String> owned,
-    LoadTimeEstimate loadTimes) {
+    LoadTimeEstimate loadTimes,
+    RecentDemand demand) {
 
   static final InstanceTable EMPTY =
       new InstanceTable(
-          HashTreePMap.empty(), HashTreePMap.empty(), Set.of(), LoadTimeEstimate.INITIAL);
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          Set.of(),
+          LoadTimeEstimate.INITIAL,
+          RecentDemand.NONE);
 
   /** Copies the identifiers. */
   InstanceTable {
@@ -46,7 +52,7 @@
 
   /** Returns this table after the ownership of instances has changed. */
   InstanceTable withOwned(Set<String> instances) {
-    InstanceTable next = new InstanceTable(byIdentifier, byService, instances, loadTimes);
+    InstanceTable next = new InstanceTable(byIdentifier, byService, instances, loadTimes, demand);
     for (InstanceView view : byIdentifier.values()) {
       if (view.owned() != instances.contains(view.identifier())) {
         next = next.with(view);
@@ -68,7 +74,8 @@
         base.byIdentifier.plus(view.identifier(), view),
         base.byService.plus(service, group.plus(view.identifier(), view)),
         owned,
-        loadTimes);
+        loadTimes,
+        demand);
   }
 
   InstanceTable without(String identifier) {
@@ -79,11 +86,17 @@
     String service = former.instance().service();
     PMap<String, InstanceView> group = byService.get(service).minus(identifier);
     return new InstanceTable(
-        byIdentifier.minus(identifier), byService.plus(service, group), owned, loadTimes);
+        byIdentifier.minus(identifier), byService.plus(service, group), owned, loadTimes, demand);
   }
 
   InstanceTable withLoadTimes(LoadTimeEstimate next) {
-    return next.equals(loadTimes) ? this : new InstanceTable(byIdentifier, byService, owned, next);
+    return next.equals(loadTimes)
+        ? this
+        : new InstanceTable(byIdentifier, byService, owned, next, demand);
+  }
+
+  InstanceTable withDemand(RecentDemand next) {
+    return new InstanceTable(byIdentifier, byService, owned, loadTimes, next);
   }
 
   InstanceTable update(String identifier, UnaryOperator<InstanceView> change) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
-import org.parsleyhead.core.api.Rendezvous;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.ServiceDefinition;
@@ -16,8 +15,8 @@
  *
  * <p>Immutable and thread-safe. For model servers, the expected time consists of the load time of
  * the adapter, the prefill of queued prompts, and the prefill of the part of the prompt that is not
- * in the prefix cache. An adapter that no server holds is loaded at the server with the highest
- * rendezvous hash, so that hosts make the same choice without knowing each other's choices.
+ * in the prefix cache. {@link HolderSelection} selects among the servers that hold the adapter,
+ * {@link CopyPolicy} among those that would have to load it.
  */
 final class LeastExpectedTime implements InstanceChoice {
 
@@ -33,15 +32,6 @@
   /** Cost of a server at which no host can currently order loads. */
   private static final double LOADS_REFUSED_COST_MILLISECONDS = 3000;
 
-  /** Cost of loading an adapter at a server other than the preferred one. */
-  private static final double NOT_PREFERRED_COST_MILLISECONDS = 60;
-
-  /**
-   * Cost of fetching an adapter from the store although another server has a copy: a fetch is
-   * weighted as half a request, which corresponds to about this delay.
-   */
-  private static final double ADDITIONAL_COPY_COST_MILLISECONDS = 300;
-
   /** Delay of the first token for each request that generates concurrently. */
   private static final double RUNNING_REQUEST_COST_MILLISECONDS = 0.4;
 
@@ -55,10 +45,12 @@
 
   private final DispatchSettings settings;
   private final LoadTimes loadTimes;
+  private final HolderSelection holderSelection;
 
   LeastExpectedTime(DispatchSettings settings) {
     this.settings = settings;
     this.loadTimes = new LoadTimes(settings);
+    this.holderSelection = new HolderSelection(settings);
   }
 
   @Override
@@ -66,12 +58,12 @@
       ActiveRequest request,
       Optional<ServiceDefinition> service,
       Collection<InstanceView> candidates,
-      LoadTimeEstimate estimate,
+      PlacementContext context,
       MonotonicTime time) {
     Optional<EngineProfile> engine = service.flatMap(ServiceDefinition::engine);
     Optional<ModelWork> work = request.request().work();
     return engine.isPresent() && work.isPresent()
-        ? chooseEngine(request, work.get().adapter(), engine.get(), candidates, estimate, time)
+        ? chooseEngine(request, work.get().adapter(), engine.get(), candidates, context, time)
         : choosePlain(request, candidates, time);
   }
 
@@ -88,54 +80,45 @@
   }
 
   /**
-   * Chooses among model servers. The preference of a server for a cold load is computed only if
-   * such a load could be chosen at all, since it needs a hash of each server.
+   * Chooses among model servers. As long as a server that holds the adapter meets the latency
+   * target, no copy is loaded, even if that would be faster.
    */
   private Optional<Candidate> chooseEngine(
       ActiveRequest request,
       AdapterKey adapter,
       EngineProfile engine,
       Collection<InstanceView> candidates,
-      LoadTimeEstimate estimate,
+      PlacementContext context,
       MonotonicTime time) {
-    boolean copyExists = candidates.stream().anyMatch(view -> hasCopy(view, adapter));
-    List<Candidate> coldLoads = new ArrayList<>();
-    Candidate best = null;
+    double targetLeft =
+        milliseconds(request.route().latencyTarget().minus(time.since(request.receivedAt())));
+    List<Candidate> holders = new ArrayList<>();
+    List<Candidate> loads = new ArrayList<>();
+    double lowestHolderCost = Double.POSITIVE_INFINITY;
     for (InstanceView view : candidates) {
-      Candidate candidate = engineCandidate(request, engine, view, copyExists, estimate, time);
-      if (coldLoad(candidate, adapter)) {
-        coldLoads.add(candidate);
-      } else if (best == null || candidate.cost() < best.cost()) {
-        best = candidate;
+      Candidate candidate = engineCandidate(request, engine, view, context.loadTimes(), time);
+      if (candidate.loadRequirement() == Candidate.LoadRequirement.REQUIRED) {
+        loads.add(candidate);
+      } else {
+        holders.add(candidate);
+        lowestHolderCost = Math.min(lowestHolderCost, candidate.cost());
       }
     }
-    double limit = best == null ? Double.POSITIVE_INFINITY : best.cost();
-    if (coldLoads.stream().noneMatch(candidate -> candidate.cost() < limit)) {
-      return Optional.ofNullable(best);
+    Optional<Candidate> holder =
+        holderSelection.select(request, holders, targetLeft, candidates.size(), context, time);
+    if (loads.isEmpty() || lowestHolderCost <= targetLeft) {
+      return holder;
     }
-    String preferred = preferredInstance(adapter, candidates);
-    for (Candidate coldLoad : coldLoads) {
-      Candidate candidate =
-          coldLoad.view().identifier().equals(preferred)
-              ? coldLoad
-              : coldLoad.withAddedCost(NOT_PREFERRED_COST_MILLISECONDS);
-      if (best == null || candidate.cost() < best.cost()) {
-        best = candidate;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private static boolean coldLoad(Candidate candidate, AdapterKey adapter) {
-    return candidate.loadRequirement() == Candidate.LoadRequirement.REQUIRED
-        && !candidate.view().adapters().formerlyHeld(adapter);
+    boolean demanded = context.demand().includes(adapter, time);
+    CopyPolicy copies = new CopyPolicy(adapter, !holders.isEmpty(), demanded, targetLeft);
+    double limit = lowestHolderCost;
+    return copies.best(loads).filter(load -> load.cost() < limit).or(() -> holder);
   }
 
   private Candidate engineCandidate(
       ActiveRequest request,
       EngineProfile engine,
       InstanceView view,
-      boolean copyExists,
       LoadTimeEstimate estimate,
       MonotonicTime time) {
     ModelWork work = request.request().work().orElseThrow();
@@ -148,8 +131,6 @@
     double cost = Math.max(queueing, load) + prefill;
     cost += commonCost(view, time) + view.totalLoad().running() * RUNNING_REQUEST_COST_MILLISECONDS;
     if (requirement == Candidate.LoadRequirement.REQUIRED) {
-      boolean additionalCopy = copyExists && !view.adapters().formerlyHeld(work.adapter());
-      cost += additionalCopy ? ADDITIONAL_COPY_COST_MILLISECONDS : 0;
       boolean refused = time.isBefore(view.adapters().loadsRefusedUntil());
       cost += refused || !view.owned() ? LOADS_REFUSED_COST_MILLISECONDS : 0;
     }
@@ -208,25 +189,6 @@
     };
   }
 
-  private static boolean hasCopy(InstanceView view, AdapterKey adapter) {
-    return view.adapters().holds(adapter) || view.adapters().formerlyHeld(adapter);
-  }
-
-  /** Returns the server with the highest rendezvous weight for an adapter. */
-  private static String preferredInstance(AdapterKey adapter, Collection<InstanceView> candidates) {
-    long adapterHash = Rendezvous.hash(adapter.toString());
-    String preferred = "";
-    long highest = Long.MIN_VALUE;
-    for (InstanceView view : candidates) {
-      long weight = Rendezvous.weight(adapterHash, Rendezvous.hash(view.identifier()));
-      if (weight >= highest) {
-        highest = weight;
-        preferred = view.identifier();
-      }
-    }
-    return preferred;
-  }
-
   private static double milliseconds(Duration duration) {
     return duration.toNanos() / NANOSECONDS_PER_MILLISECOND;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -81,7 +81,7 @@
     Optional<ServiceDefinition> service = state.catalogue().service(active.service());
     Optional<Candidate> chosen =
         choice.choose(
-            active, service, candidates(state, active, time), state.instances().loadTimes(), time);
+            active, service, candidates(state, active, time), PlacementContext.of(state), time);
     if (chosen.isEmpty()) {
       return awaitInstance(state, active, time);
     }
@@ -170,7 +170,15 @@
           updated.withPrefixCache(
               updated.prefixCache().withPrompt(work.get(), active.prefixHashes(), capacity));
     }
-    DispatchState next = state.withInstances(state.instances().with(updated));
+    InstanceTable instances = state.instances().with(updated);
+    if (work.isPresent() && active.progress().attempts() == 0) {
+      instances =
+          instances.withDemand(
+              instances
+                  .demand()
+                  .withRequest(work.get().adapter(), addedLoad.pendingPromptTokens(), time));
+    }
+    DispatchState next = state.withInstances(instances);
     if (active.progress().attempts() > 0) {
       next = retries.charge(next, active, time);
     }
@@ -322,7 +330,7 @@
             unassigned,
             state.catalogue().service(active.service()),
             candidates(released, unassigned, time),
-            released.instances().loadTimes(),
+            PlacementContext.of(released),
             time)
         .filter(other -> other.loadRequirement() == Candidate.LoadRequirement.NONE)
         .isPresent();
