--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
+import org.parsleyhead.core.api.Rendezvous;
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.ServiceDefinition;
