--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -24,7 +24,7 @@
 
 /**
  * The message types for gateway hosts, which operate without a published host list, codes 102 to
- * 119. The codes 100, 101 and 103 belonged to former encodings.
+ * 119. The codes 100, 101, 103 and 106 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -34,7 +34,7 @@
   public static final List<MessageType<?>> TYPES =
       List.of(
           new MessageType<>(
-              106,
+              117,
               Heartbeat.class,
               FleetMessageTypes::writeHeartbeat,
               FleetMessageTypes::readHeartbeat),
@@ -233,6 +233,7 @@
       writeAdapter(adapter.getKey(), packer);
       packer.packLong(adapter.getValue());
     }
+    packer.packInt(report.freeSlots());
   }
 
   private static AdapterReport readReport(MessageUnpacker unpacker) throws IOException {
@@ -245,7 +246,8 @@
     for (int index = 0; index < size; index++) {
       adapters.put(readAdapter(unpacker), unpacker.unpackLong());
     }
-    return new AdapterReport(instance, startedAt, orderCount, Set.copyOf(models), adapters);
+    return new AdapterReport(
+        instance, startedAt, orderCount, Set.copyOf(models), adapters, unpacker.unpackInt());
   }
 
   private static void writeHostSummary(MessagePacker packer, HostSummary summary)
--- a/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
+++ b/parsleyhead-codec/src/test/java/org/parsleyhead/codec/peer/FleetMessageTypesTests.java
@@ -54,7 +54,7 @@
             Map.of("account", 5.5),
             Map.of("i-1", new InstanceLoad(1, 2, 3)),
             Map.of("i-2", Map.of(ADAPTER, 6)),
-            List.of(new AdapterReport("i-2", 7, 8, Set.of("base"), Map.of(ADAPTER, 9L))),
+            List.of(new AdapterReport("i-2", 7, 8, Set.of("base"), Map.of(ADAPTER, 9L), 3)),
             Optional.of(new HeartbeatAnswer(6, "10.0.0.1:9", 2, true, List.of()))),
         new HeartbeatAnswer(1, "10.0.0.1:9", 2, false, List.of("i-1")),
         new LoadRequest("10.0.0.1:9", "i-1", ADAPTER),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
@@ -27,6 +27,8 @@
  * @param former when adapters that are no longer held were removed, in nanoseconds; they load
  *     faster than others
  * @param loadsRefusedUntil until when the owner is expected to refuse loads
+ * @param freeSlots the adapter slots that are free or can be freed, by the last report; {@link
+ *     AdapterReport#UNKNOWN_SLOTS} if unknown
  */
 record AdapterInventory(
     long orderCount,
@@ -35,7 +37,8 @@
     PMap<AdapterKey, Long> held,
     PMap<AdapterKey, ExpectedLoad> expected,
     PMap<AdapterKey, Long> former,
-    MonotonicTime loadsRefusedUntil) {
+    MonotonicTime loadsRefusedUntil,
+    int freeSlots) {
 
   /** Number of former adapters that are tracked; servers cache about 50. */
   private static final int MAXIMUM_FORMER_ADAPTERS = 50;
@@ -59,7 +62,8 @@
         HashTreePMap.from(instance.adapters()),
         HashTreePMap.empty(),
         HashTreePMap.empty(),
-        time);
+        time,
+        AdapterReport.UNKNOWN_SLOTS);
   }
 
   /** Returns this inventory after an announcement, which a recent report overrides. */
@@ -73,7 +77,8 @@
   AdapterInventory withReport(AdapterReport report, MonotonicTime time) {
     return report.orderCount() < orderCount
         ? this
-        : withContents(report.orderCount(), time, report.models(), report.adapters(), true, time);
+        : withContents(report.orderCount(), time, report.models(), report.adapters(), true, time)
+            .withFreeSlots(report.freeSlots());
   }
 
   /** Returns this inventory without adapters that are older than their declared versions. */
@@ -106,7 +111,8 @@
         held.minus(adapter),
         expected.minus(adapter),
         nextFormer,
-        loadsRefusedUntil);
+        loadsRefusedUntil,
+        freeSlots);
   }
 
   boolean holds(AdapterKey adapter) {
@@ -144,7 +150,14 @@
       }
     }
     return new AdapterInventory(
-        orders, reported, nextModels, next, nextExpected, bounded(nextFormer), loadsRefusedUntil);
+        orders,
+        reported,
+        nextModels,
+        next,
+        nextExpected,
+        bounded(nextFormer),
+        loadsRefusedUntil,
+        freeSlots);
   }
 
   AdapterInventory withExpectedLoad(AdapterKey adapter, ExpectedLoad load) {
@@ -155,7 +168,8 @@
         held.containsKey(adapter) ? held : held.plus(adapter, 0L),
         expected.plus(adapter, load),
         former.minus(adapter),
-        loadsRefusedUntil);
+        loadsRefusedUntil,
+        held.containsKey(adapter) || freeSlots <= 0 ? freeSlots : freeSlots - 1);
   }
 
   AdapterInventory withLoaded(AdapterKey adapter) {
@@ -167,7 +181,8 @@
             held,
             expected.minus(adapter),
             former,
-            loadsRefusedUntil)
+            loadsRefusedUntil,
+            freeSlots)
         : this;
   }
 
@@ -184,7 +199,18 @@
   }
 
   AdapterInventory withLoadsRefusedUntil(MonotonicTime until) {
-    return new AdapterInventory(orderCount, reportedAt, models, held, expected, former, until);
+    return new AdapterInventory(
+        orderCount, reportedAt, models, held, expected, former, until, freeSlots);
+  }
+
+  AdapterInventory withFreeSlots(int slots) {
+    return new AdapterInventory(
+        orderCount, reportedAt, models, held, expected, former, loadsRefusedUntil, slots);
+  }
+
+  /** Returns whether a load can be ordered now, as far as this host knows. */
+  boolean acceptsLoads(MonotonicTime time) {
+    return freeSlots != 0 && !time.isBefore(loadsRefusedUntil);
   }
 
   private static PMap<AdapterKey, Long> bounded(PMap<AdapterKey, Long> adapters) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -33,6 +33,9 @@
    */
   private static final Duration LOAD_REFUSAL_DURATION = Duration.ofMillis(500);
 
+  /** The reason of an owner that has no adapter slot for a load. */
+  private static final String NO_SLOT = "no_slot";
+
   /** Load requests that one request may trigger in a row. */
   private static final int MAXIMUM_LOAD_REQUESTS = 3;
 
@@ -202,8 +205,7 @@
   /** Dispatches the requests again that wait for a load that was refused. */
   Step<DispatchState, DispatchEffect> onRefused(
       DispatchState state, DispatchEvent.LoadRefused refused, MonotonicTime time) {
-    Step<DispatchState, DispatchEffect> step =
-        Step.of(withLoadsRefused(state, refused.instance(), time));
+    Step<DispatchState, DispatchEffect> step = Step.of(withRefusal(state, refused, time));
     for (ActiveRequest active : waitingFor(state, refused.instance(), refused.adapter())) {
       step = step.andThen(before -> redispatch.dispatch(before, active, time));
     }
@@ -241,6 +243,18 @@
         time);
   }
 
+  private static DispatchState withRefusal(
+      DispatchState state, DispatchEvent.LoadRefused refused, MonotonicTime time) {
+    DispatchState next = withLoadsRefused(state, refused.instance(), time);
+    return refused.reason().equals(NO_SLOT)
+        ? next.withInstances(
+            next.instances()
+                .update(
+                    refused.instance(),
+                    view -> view.withAdapters(view.adapters().withFreeSlots(0))))
+        : next;
+  }
+
   private static DispatchState withLoadsRefused(
       DispatchState state, String instance, MonotonicTime time) {
     return state.withInstances(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -110,7 +110,7 @@
       return holder;
     }
     boolean demanded = context.demand().includes(adapter, time);
-    CopyPolicy copies = new CopyPolicy(adapter, !holders.isEmpty(), demanded, targetLeft);
+    CopyPolicy copies = new CopyPolicy(adapter, !holders.isEmpty(), demanded, targetLeft, time);
     double limit = lowestHolderCost;
     return copies.best(loads).filter(load -> load.cost() < limit).or(() -> holder);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LoadTimeEstimate.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LoadTimeEstimate.java
@@ -75,9 +75,9 @@
 
     /**
      * Fraction by which a first response lowers the estimate. With the margin of a quarter, at most
-     * one load in 45 is expected too early while the actual load time is constant.
+     * one load in 90 is expected too early while the actual load time is constant.
      */
-    private static final double LOWERED_FRACTION = 0.005;
+    private static final double LOWERED_FRACTION = 0.0025;
 
     double at(Duration configured, MonotonicTime time) {
       return bounded(configured.toNanos() / 1e6 * decayed(time));
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/EngineOrderScheduler.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,12 +31,6 @@
   /** Maximum number of queued loads per server; further ones would not complete in time. */
   private static final int MAXIMUM_PENDING_LOADS = 16;
 
-  /**
-   * Minimum time from the last use of an adapter to its eviction; longer than a report of a new use
-   * takes to arrive.
-   */
-  private static final Duration MINIMUM_IDLE_TIME = Duration.ofMillis(700);
-
   /** How long a load waits for a slot before it is refused, so that another server is tried. */
   private static final Duration SLOT_WAIT_TIMEOUT = Duration.ofMillis(120);
 
@@ -282,7 +275,8 @@
         engine.slots().values().stream().filter(slot -> time.isBefore(slot.readyAt())).count();
     boolean replaces = engine.slots().containsKey(first.adapter());
     boolean full = !replaces && engine.slots().size() >= profile.adapterSlots();
-    Optional<AdapterKey> evicted = full ? evictionCandidate(engine, time) : Optional.empty();
+    Optional<AdapterKey> evicted =
+        full ? SlotEviction.candidate(engine, state.engines().values(), time) : Optional.empty();
     if (loading >= MAXIMUM_CONCURRENT_LOADS || full && evicted.isEmpty()) {
       return time.since(first.requestedAt()).compareTo(SLOT_WAIT_TIMEOUT) > 0
           ? refusePending(state, instance, engine, "no_slot")
@@ -318,19 +312,6 @@
             leases.heldUntil(state, target.identifier())));
   }
 
-  /**
-   * Returns the least recently used adapter that is loaded, not in use and idle for the minimum
-   * time.
-   */
-  private static Optional<AdapterKey> evictionCandidate(OwnedEngine engine, MonotonicTime time) {
-    return engine.slots().entrySet().stream()
-        .filter(entry -> !time.isBefore(entry.getValue().readyAt()))
-        .filter(entry -> time.since(entry.getValue().usedAt()).compareTo(MINIMUM_IDLE_TIME) > 0)
-        .filter(entry -> !engine.inUse(entry.getKey()))
-        .min(Comparator.comparing(entry -> entry.getValue().usedAt()))
-        .map(Map.Entry::getKey);
-  }
-
   private Step<FleetState, FleetEffect> stateUnknown(
       FleetState state, String instance, OwnedEngine engine, String reason, MonotonicTime time) {
     FleetEffect logEvent =
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/Heartbeats.java
@@ -123,13 +123,14 @@
               boolean recent =
                   time.since(engine.changedAt()).compareTo(REPORT_DISTRIBUTION_TIME) < 0;
               if (engine.reported() && recent && instance != null) {
-                reports.add(report(instance, engine, time));
+                reports.add(report(state, instance, engine, time));
               }
             });
     return reports;
   }
 
-  private static AdapterReport report(Instance instance, OwnedEngine engine, MonotonicTime time) {
+  private static AdapterReport report(
+      FleetState state, Instance instance, OwnedEngine engine, MonotonicTime time) {
     Map<AdapterKey, Long> adapters = new HashMap<>();
     engine
         .slots()
@@ -144,7 +145,11 @@
         instance.startedAtMilliseconds(),
         engine.orderCount(),
         engine.models(),
-        adapters);
+        adapters,
+        state
+            .profile(instance)
+            .map(profile -> SlotEviction.freeSlots(engine, profile.adapterSlots(), time))
+            .orElse(AdapterReport.UNKNOWN_SLOTS));
   }
 
   private static Map<String, Map<AdapterKey, Integer>> adapterRequestsAt(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/OwnedEngine.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/fleet/OwnedEngine.java
@@ -25,7 +25,7 @@
  * @param pending the queued loads, in order
  * @param inFlight the order whose answer is outstanding
  * @param adapterRequests the number of requests that use each adapter, by host
- * @param changedAt when its models or adapters last changed
+ * @param changedAt when its models, its adapters or the use of its adapters last changed
  */
 record OwnedEngine(
     ReportStatus reportStatus,
@@ -177,6 +177,8 @@
         used = used.plus(adapter, slot.withUsedAt(time));
       }
     }
+    boolean sameAdapters =
+        requests.keySet().equals(adapterRequests.getOrDefault(host, Map.of()).keySet());
     return new OwnedEngine(
         reportStatus,
         orderCount,
@@ -188,7 +190,7 @@
         requests.isEmpty()
             ? adapterRequests.minus(host)
             : adapterRequests.plus(host, Map.copyOf(requests)),
-        changedAt);
+        sameAdapters ? changedAt : time);
   }
 
   private OwnedEngine withReportStatus(ReportStatus next) {
