--- a/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
+++ b/parsleyhead-codec/src/main/java/org/parsleyhead/codec/peer/FleetMessageTypes.java
@@ -23,8 +23,8 @@
 import org.parsleyhead.core.publication.PublishedItem;
 
 /**
- * The message types for gateway hosts, which operate without a published host list, codes 107, 109
- * to 112, 116 and 117. The other codes from 100 to 119 belonged to former encodings.
+ * The message types for gateway hosts, which operate without a published host list, codes 107, 109,
+ * 111, 112 and 116 to 118. The other codes from 100 to 119 belonged to former encodings.
  *
  * <p>Stateless and thread-safe.
  */
@@ -34,7 +34,7 @@
   public static final List<MessageType<?>> TYPES =
       List.of(
           new MessageType<>(
-              110,
+              118,
               Heartbeat.class,
               FleetMessageTypes::writeHeartbeat,
               FleetMessageTypes::readHeartbeat),
@@ -248,6 +248,7 @@
       writeAdapter(adapter.getKey(), packer);
       packer.packLong(adapter.getValue());
     }
+    packer.packInt(report.freeSlots());
   }
 
   private static AdapterReport readReport(MessageUnpacker unpacker) throws IOException {
@@ -260,7 +261,8 @@
     for (int index = 0; index < size; index++) {
       adapters.put(readAdapter(unpacker), unpacker.unpackLong());
     }
-    return new AdapterReport(instance, startedAt, orderCount, Set.copyOf(models), adapters);
+    return new AdapterReport(
+        instance, startedAt, orderCount, Set.copyOf(models), adapters, unpacker.unpackInt());
   }
 
   private static void writeHostSummary(MessagePacker packer, HostSummary summary)
