--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakePlacementFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakePlacementFleet.java
@@ -20,6 +20,7 @@
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.SpreadRetryAfter;
 import org.parsleyhead.core.overload.WaitPolicy;
+import org.parsleyhead.core.placement.PlacementSettings;
 import org.parsleyhead.core.quarantine.TrialRight;
 import org.parsleyhead.core.serving.EngineProfile;
 import org.parsleyhead.core.serving.RequestKind;
@@ -395,7 +396,8 @@
                 0,
                 new SpreadRetryAfter(),
                 WaitPolicy.upToFraction(0.7),
-                TrialRight.inTurn("self")));
+                TrialRight.inTurn("self"),
+                new PlacementSettings("self", false, Map.of())));
     private final Map<Long, Long> receivedAt = new HashMap<>();
     private DispatchState state = DispatchState.initial(time());
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/LiveHostsTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/LiveHostsTests.java
@@ -39,7 +39,7 @@
   private static Step<FleetState, FleetEffect> tick(
       String self, FleetState state, MonotonicTime time) {
     return new FleetTransition(settings(self))
-        .apply(state, new FleetEvent.Tick(1, 1, Map.of(), Map.of(), Map.of()), time);
+        .apply(state, new FleetEvent.Tick(1, 0, 1, Map.of(), Map.of(), Map.of()), time);
   }
 
   private static FleetEffect.HostsChanged hostsChanged(Step<FleetState, FleetEffect> step) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/SlotEvictionTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/fleet/SlotEvictionTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.overload.RequestRank;
 
 /** Guards against load requests at servers without a slot, and against evictions of adapters. */
 @DisplayName("Slots of an owned server")
@@ -18,6 +19,9 @@
   private static final MonotonicTime START = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
   private static final AdapterKey FIRST = new AdapterKey("base", "first");
   private static final AdapterKey SECOND = new AdapterKey("base", "second");
+  private static final RequestRank RANK =
+      new RequestRank(
+          0, Duration.ZERO, Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofMillis(250));
   private static final int SLOTS = 3;
 
   private static MonotonicTime after(long milliseconds) {
@@ -38,7 +42,9 @@
     OwnedEngine used = engine.withAdapterRequests("host", Map.of(FIRST, 1), after(10));
     assertEquals(2, SlotEviction.freeSlots(used, SLOTS, after(2_000)));
     OwnedEngine pending =
-        used.withPending(used.pending().plus(PendingLoad.of(SECOND, "host", after(10))));
+        used.withPending(
+            used.pending()
+                .plus(PendingLoad.of(new LoadRequest("host", "i-1", SECOND, RANK), after(10))));
     assertEquals(1, SlotEviction.freeSlots(pending, SLOTS, after(2_000)));
   }
 
