--- a/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
+++ b/parsleyhead-gateway/src/test/java/org/parsleyhead/gateway/upstreams/FakeHttpDialect.java
@@ -52,8 +52,8 @@
         Optional.ofNullable(headers.get("Retry-After")).map(Long::valueOf).map(Duration::ofSeconds),
         Optional.ofNullable(headers.get("Load"))
             .map(Integer::valueOf)
-            .map(
-                running -> new ReportedLoad(running, 0, 8, OptionalDouble.empty(), Duration.ZERO)));
+            .map(running -> new ReportedLoad(running, 0, 8, OptionalDouble.empty(), Duration.ZERO)),
+        Optional.empty());
   }
 
   @Override
