Store rollback: the decisions about eras keep no state

Cause: EraMerge had a mutable field, which CoreShapeTests.isImmutable refuses in the core (1 failure of 604 tests of parsleyhead-core).

Change: its methods return the era after the decision. A test of items of equal or no version; the mutation that takes every item as written in the new era had passed before.

Measured: CoreShapeTests, StoreEraTests, StoreEraFleetTests, PublicationTransitionTests and PublicationFleetTests pass.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/EraMerge.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/EraMerge.java
@@ -10,53 +10,82 @@
 /**
  * Decides which items of the current era come into force beside what remains of former eras.
  *
- * <p>Confined to one step of {@link PublicationTransition}. An item that does not come into force
- * remains in the copy, which is sent to other hosts.
+ * <p>Immutable and thread-safe. An item that does not come into force remains in the copy, which is
+ * sent to other hosts.
  */
 final class EraMerge {
 
   private final ItemVersions versions;
-  private final List<String> outdated = new ArrayList<>();
-  private StoreEra era;
 
-  EraMerge(StoreEra era, ItemVersions versions) {
-    this.era = era;
+  EraMerge(ItemVersions versions) {
     this.versions = versions;
   }
 
-  /** Returns the era after the decisions. */
-  StoreEra result() {
-    return era;
+  /** What an item of the current era does to what is in force. */
+  enum Effect {
+    /** It changes what is in force. */
+    CHANGE,
+    /** It confirms what is in force. */
+    CONFIRMATION,
+    /** It does not come into force. */
+    NONE
   }
 
-  /** Returns the keys of the items that did not come into force. */
-  List<String> outdated() {
-    return List.copyOf(outdated);
+  /**
+   * The decision about an item.
+   *
+   * <p>Immutable and thread-safe.
+   *
+   * @param era the era after it
+   * @param effect what the item does
+   */
+  record Decision(StoreEra era, Effect effect) {}
+
+  /**
+   * Changes of what is in force.
+   *
+   * <p>Immutable and thread-safe.
+   *
+   * @param era the era after them
+   * @param items the changed items, deletions included
+   */
+  record Changes(StoreEra era, List<PublishedItem> items) {
+
+    /** Copies the list. */
+    Changes {
+      items = List.copyOf(items);
+    }
   }
 
   /**
    * Decides about an item that the copy has taken.
    *
    * @param known what the copy had for its key
-   * @param item the item
-   * @return whether the item changes what is in force
    */
-  boolean takes(Optional<PublishedItem> known, PublishedItem item) {
+  Decision take(StoreEra era, Optional<PublishedItem> known, PublishedItem item) {
     FormerItem former = era.former().get(item.key());
-    if (former != null && !former.replacedBy(item, era.wrote(item), versions)) {
-      outdated.add(item.key());
-      return false;
+    if (former == null) {
+      return new Decision(withRemoval(era, known, item), Effect.CHANGE);
     }
-    if (former != null) {
-      era = era.withFormer(era.former().minus(item.key()));
+    if (!former.replacedBy(item, era.wrote(item), versions)) {
+      return new Decision(era, Effect.NONE);
     }
-    Optional<PublishedItem> inForce = former == null ? known : Optional.of(former.item());
-    if (item.value().isPresent()) {
-      era = era.withRemoved(era.removed().without(item.key()));
-    } else if (former == null || !former.isRemoved()) {
-      era = era.withRemoved(era.removed().with(item.key(), inForce.flatMap(versions::of)));
-    }
-    return former == null || !former.item().value().equals(item.value());
+    StoreEra next = era.withFormer(era.former().minus(item.key()));
+    boolean changed = !former.item().value().equals(item.value());
+    return new Decision(
+        withRemoval(next, Optional.of(former.item()), item),
+        changed ? Effect.CHANGE : Effect.CONFIRMATION);
+  }
+
+  /** Returns the era after an item came into force: a deletion is remembered with its version. */
+  private StoreEra withRemoval(StoreEra era, Optional<PublishedItem> inForce, PublishedItem item) {
+    RemovedItems removed = era.removed();
+    return era.withRemoved(
+        item.value().isPresent()
+            ? removed.without(item.key())
+            : removed.with(
+                item.key(),
+                inForce.filter(last -> last.value().isPresent()).flatMap(versions::of)));
   }
 
   /**
@@ -65,25 +94,27 @@
    * @param copy what remains there
    * @param learnedAt when the confirmation time began; empty if it has ended
    * @param items the copy of the items of the current era
-   * @return the changes of what is in force
    */
-  List<PublishedItem> takeFormer(
-      FormerCopy copy, Optional<MonotonicTime> learnedAt, PMap<String, PublishedItem> items) {
+  Changes takeFormer(
+      StoreEra era,
+      FormerCopy copy,
+      Optional<MonotonicTime> learnedAt,
+      PMap<String, PublishedItem> items) {
     List<PublishedItem> changed = new ArrayList<>();
     PMap<String, FormerItem> kept = HashTreePMap.empty();
+    RemovedItems removed = era.removed();
     for (FormerItem former : copy.items()) {
       String key = former.item().key();
       PublishedItem current = items.get(key);
       if (current == null || !former.replacedBy(current, era.wrote(current), versions)) {
         kept = kept.plus(key, former);
-        era = era.withRemoved(era.removed().with(key, former.removedVersion()));
+        removed = removed.with(key, former.removedVersion());
         if (current != null || !former.isRemoved()) {
           changed.add(former.item());
         }
       }
     }
-    era = era.withFormerOf(kept, learnedAt);
-    return changed;
+    return new Changes(era.withFormerOf(kept, learnedAt).withRemoved(removed), changed);
   }
 
   /**
@@ -92,11 +123,11 @@
    *
    * @param items the copy of the items of the current era
    * @param revision the revision up to which the copy is complete
-   * @return the changes of what is in force
    */
-  List<PublishedItem> confirm(PMap<String, PublishedItem> items, long revision) {
+  Changes confirm(StoreEra era, PMap<String, PublishedItem> items, long revision) {
     List<PublishedItem> changed = new ArrayList<>();
     PMap<String, FormerItem> kept = era.former();
+    RemovedItems removed = era.removed();
     for (FormerItem former : era.former().values()) {
       String key = former.item().key();
       PublishedItem current = items.get(key);
@@ -108,10 +139,9 @@
         changed.add(current);
       } else if (!former.isRemoved()) {
         changed.add(new PublishedItem(key, era.number(), revision, Optional.empty()));
-        era = era.withRemoved(era.removed().with(key, versions.of(former.item())));
+        removed = removed.with(key, versions.of(former.item()));
       }
     }
-    era = era.withFormer(kept).confirmed();
-    return changed;
+    return new Changes(era.withFormer(kept).withRemoved(removed).confirmed(), changed);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/PublicationTransition.java
@@ -35,7 +35,7 @@
     implements Transition<PublicationState, PublicationEvent, PublicationEffect> {
 
   private final PublicationSettings settings;
-  private final ItemVersions versions;
+  private final EraMerge eras;
 
   /**
    * Creates the transition.
@@ -45,7 +45,7 @@
    */
   public PublicationTransition(PublicationSettings settings, ItemVersions versions) {
     this.settings = Preconditions.requireNonNull(settings, "settings");
-    this.versions = Preconditions.requireNonNull(versions, "versions");
+    this.eras = new EraMerge(Preconditions.requireNonNull(versions, "versions"));
   }
 
   @Override
@@ -292,15 +292,20 @@
       MergeRule rule,
       MonotonicTime time) {
     PMap<String, PublishedItem> next = state.items();
-    EraMerge eras = new EraMerge(state.storeEra(), versions);
+    StoreEra era = state.storeEra();
+    List<String> outdated = new ArrayList<>();
     Map<String, PublishedItem> changed = new LinkedHashMap<>();
     List<PublishedItem> ignored = new ArrayList<>();
     for (PublishedItem item : items) {
       Optional<PublishedItem> known = Optional.ofNullable(next.get(item.key()));
       if (rule.accepts(known, item)) {
         next = next.plus(item.key(), item);
-        if (eras.takes(known, item)) {
+        EraMerge.Decision decision = eras.take(era, known, item);
+        era = decision.era();
+        if (decision.effect() == EraMerge.Effect.CHANGE) {
           changed.put(item.key(), item);
+        } else if (decision.effect() == EraMerge.Effect.NONE) {
+          outdated.add(item.key());
         }
       } else if (known.isEmpty()) {
         ignored.add(item);
@@ -310,8 +315,8 @@
     if (!ignored.isEmpty()) {
       effects.add(new PublicationEffect.Ignored(ignored, source, state.revision()));
     }
-    if (!eras.outdated().isEmpty()) {
-      effects.add(new PublicationEffect.Outdated(eras.outdated(), source, state.era()));
+    if (!outdated.isEmpty()) {
+      effects.add(new PublicationEffect.Outdated(outdated, source, state.era()));
     }
     if (!changed.isEmpty()) {
       effects.add(
@@ -319,7 +324,7 @@
               List.copyOf(changed.values()), source, state.reads().silence(time)));
     }
     return new Step<>(
-        next == state.items() ? state : state.withItems(next).withStoreEra(eras.result()), effects);
+        next == state.items() ? state : state.withItems(next).withStoreEra(era), effects);
   }
 
   /** Ends the confirmation time once the copy is known to be complete up to its end. */
@@ -331,8 +336,8 @@
     if (!due) {
       return Step.of(state);
     }
-    EraMerge eras = new EraMerge(state.storeEra(), versions);
-    List<PublishedItem> changed = eras.confirm(state.items(), state.revision());
+    EraMerge.Changes changes = eras.confirm(state.storeEra(), state.items(), state.revision());
+    List<PublishedItem> changed = changes.items();
     List<PublicationEffect> effects = new ArrayList<>();
     if (!changed.isEmpty()) {
       effects.add(
@@ -342,8 +347,8 @@
         changed.stream().filter(item -> item.value().isEmpty()).map(PublishedItem::key).toList();
     effects.add(
         new PublicationEffect.EraConfirmed(
-            state.era(), deleted, changed.size() - deleted.size(), eras.result().former().size()));
-    return new Step<>(state.withStoreEra(eras.result()), effects);
+            state.era(), deleted, changed.size() - deleted.size(), changes.era().former().size()));
+    return new Step<>(state.withStoreEra(changes.era()), effects);
   }
 
   /** Decides whether an item replaces what the copy holds for its key. */
@@ -440,15 +445,14 @@
         left.isZero()
             ? Optional.empty()
             : Optional.of(time.minus(settings.confirmationTime().minus(left)));
-    EraMerge eras = new EraMerge(state.storeEra(), versions);
-    List<PublishedItem> changed = eras.takeFormer(former, learnedAt, state.items());
-    PublicationState next = state.withStoreEra(eras.result());
-    return changed.isEmpty()
+    EraMerge.Changes changes = eras.takeFormer(state.storeEra(), former, learnedAt, state.items());
+    PublicationState next = state.withStoreEra(changes.era());
+    return changes.items().isEmpty()
         ? Step.of(next)
         : Step.of(
             next,
             new PublicationEffect.Changed(
-                changed, "peer=" + update.host(), state.reads().silence(time)));
+                changes.items(), "peer=" + update.host(), state.reads().silence(time)));
   }
 
   /** Takes a higher era from another host; a reader lists the items of the store itself too. */
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraFleetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraFleetTests.java
@@ -101,7 +101,7 @@
   @DisplayName("reverts nothing, and takes what is written again in time")
   void revertsNothing(int size, int seconds) {
     start(size + seconds, size);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     delete("servers/3");
     write("servers/new", "ready 7." + announcement);
@@ -126,7 +126,7 @@
   @DisplayName("reverts nothing after two rollbacks in a row")
   void survivesTwoRollbacks() {
     start(7, 9);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     delete("servers/3");
     fleet.run(Duration.ofSeconds(2));
@@ -146,7 +146,7 @@
   @DisplayName("takes the era to a host that hears of it seconds late")
   void reachesLateHost() {
     start(8, 9);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     delete("servers/3");
     fleet.run(Duration.ofSeconds(2));
@@ -169,7 +169,7 @@
   @DisplayName("takes the era to hosts for which the store is silent")
   void reachesHostWithoutStore(long seed) {
     start(seed, 9);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     fleet.run(Duration.ofSeconds(2));
     fleet.silenceStore(Set.of(fleet.hostNames().get(0), fleet.hostNames().get(8)));
@@ -185,10 +185,10 @@
   @DisplayName("reverts nothing while a host stops as planned and another one starts")
   void survivesStopAndStart() {
     start(9, 9);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     fleet.run(Duration.ofSeconds(2));
-    String stopping = fleet.hostNames().get(0);
+    final String stopping = fleet.hostNames().get(0);
     fleet.store().rollBack(copy);
     fleet.run(Duration.ofSeconds(1));
     assertNotReverted("none");
@@ -206,7 +206,7 @@
   @DisplayName("tells a host that starts after the rollback what remains in force")
   void tellsNewHost(int size) {
     start(10, size);
-    FakeStore.Copy copy = fleet.store().copy();
+    final FakeStore.Copy copy = fleet.store().copy();
     changeConfiguration();
     delete("servers/3");
     write("servers/new", "ready 7." + announcement);
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/publication/StoreEraTests.java
@@ -170,6 +170,19 @@
     assertEquals(Map.of(), inForce);
   }
 
+  // Guards against an older value of the copy that replaces a newer one of the same version.
+  @Test
+  @DisplayName("keeps an item that the copy has otherwise until it is written or time has passed")
+  void keepsItemsOfEqualOrNoVersion() {
+    list(0, 100, item(0, "op/x", 90, "new"), item(0, "servers/a", 91, "draining 7.1"));
+    rollBack(1, 80, item(1, "op/x", 40, "old"), item(1, "servers/a", 41, "ready 7.1"));
+    assertEquals(Map.of("op/x", "new", "servers/a", "draining 7.1"), inForce);
+    watch(1, 81, item(1, "servers/a", 81, "leaving 7.1"));
+    watch(1, 82, item(1, "op/y", 82, "y"));
+    pass(CONFIRMATION.plusSeconds(1));
+    assertEquals(Map.of("op/x", "old", "op/y", "y", "servers/a", "leaving 7.1"), inForce);
+  }
+
   // Guards against deletions by a host that cannot know what was written again.
   @Test
   @DisplayName("deletes nothing while the store does not answer")
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/StoreRollbackTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/StoreRollbackTests.java
@@ -59,7 +59,7 @@
   void keepServing() throws Exception {
     try (SoakFleet fleet = new SoakFleet(directory, 3, 0);
         AsyncHttpClient client = Dsl.asyncHttpClient(Dsl.config().setMaxRequestRetry(0).build())) {
-      CallerStandin callers = new CallerStandin(client);
+      final CallerStandin callers = new CallerStandin(client);
       fleet.hosts().forEach(SoakFleet.Host::awaitStarted);
       sleep(STARTUP_MILLISECONDS);
       fleet.issueKey("key-1", "account-1");
