Requests wait in order for retries, adapter slots and refusing servers

Waiting requests woke by their own timers, so that the order of their timers decided which of them got capacity.

Requests that wait now join a line of their service in WaitingQueue, which is ordered by rank, bounded in number, and divided between accounts. The first of a line looks for capacity; the others wake only to give up. A request waits for a retry until its latency target or for half of its time.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -6,6 +6,7 @@
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
 import org.parsleyhead.core.instance.AdapterKey;
+import org.parsleyhead.core.overload.WaitLine;
 
 /**
  * Handles requests whose adapter has to be loaded first: requests the load, waits for it, and waits
@@ -36,9 +37,6 @@
   /** Load requests that one request may trigger in a row. */
   private static final int MAXIMUM_LOAD_REQUESTS = 3;
 
-  /** Delay before a request triggers loads again; each completed request may free a slot. */
-  private static final Duration SLOT_RETRY_DELAY = Duration.ofMillis(150);
-
   /** Expected delay until a server has a free adapter slot, or another request has the adapter. */
   private static final Duration EXPECTED_SLOT_DELAY = Duration.ofMillis(150);
 
@@ -52,11 +50,13 @@
   private static final Duration MAXIMUM_TAKEOVER_DELAY = Duration.ofMillis(1_500);
 
   private final DispatchSettings settings;
+  private final WaitingRequests waiting;
   private final Redispatch redispatch;
   private final RequestRanks ranks;
 
-  AdapterLoads(DispatchSettings settings, Redispatch redispatch) {
+  AdapterLoads(DispatchSettings settings, WaitingRequests waiting, Redispatch redispatch) {
     this.settings = settings;
+    this.waiting = waiting;
     this.redispatch = redispatch;
     this.ranks = new RequestRanks(settings);
   }
@@ -71,12 +71,19 @@
       return refuse(state, active, EXPECTED_SLOT_DELAY, time);
     }
     if (!mayRequest(active, time)) {
+      WaitLine line = new WaitLine(WaitLine.Capacity.ADAPTER_SLOT, active.service());
       return active.progress().responseStarted() || loadTimeElapsed(active, time)
-          ? refuse(state, active, EXPECTED_SLOT_DELAY, time)
-          : RequestWakes.schedule(
+          ? RequestCompletion.fail(
+              state,
+              active,
+              DispatchRefusal.Code.ADAPTER_UNAVAILABLE,
+              waiting.retryAfter(state, active, line),
+              time)
+          : waiting.enqueue(
               state,
-              active.with(active.progress().withoutLoadRequests().waiting()),
-              SLOT_RETRY_DELAY,
+              active.with(active.progress().withoutLoadRequests()),
+              line,
+              loadWaitEnd(active),
               time);
     }
     ActiveRequest loading = active.with(active.progress().requestingLoad(view.identifier(), time));
@@ -145,14 +152,17 @@
    * owner, in which no load could be ordered, does not count.
    */
   private static boolean loadTimeElapsed(ActiveRequest active, MonotonicTime time) {
-    MonotonicTime possibleFrom =
-        active
-            .progress()
-            .loads()
-            .ownerExpectedAt()
-            .map(expectedAt -> expectedAt.plus(OWNER_START_DELAY))
-            .orElse(active.receivedAt());
-    return time.since(possibleFrom).compareTo(RequestTimeouts.loadTimeout(active)) > 0;
+    return loadWaitEnd(active).isBefore(time);
+  }
+
+  private static MonotonicTime loadWaitEnd(ActiveRequest active) {
+    return active
+        .progress()
+        .loads()
+        .ownerExpectedAt()
+        .map(expectedAt -> expectedAt.plus(OWNER_START_DELAY))
+        .orElse(active.receivedAt())
+        .plus(RequestTimeouts.loadTimeout(active));
   }
 
   /** Wakes the requests that wait for a load once it is expected to be ready. */
@@ -198,7 +208,13 @@
     Step<DispatchState, DispatchEffect> step = Step.of(state);
     for (ActiveRequest active : List.copyOf(state.requests().values())) {
       if (active.progress().phase() == Phase.WAITING) {
-        step = step.andThen(before -> redispatch.dispatch(before, active, time));
+        // A request that was dispatched before may have taken the place of this one in the queue.
+        step =
+            step.andThen(
+                before ->
+                    before.requests().get(active.key()) == active
+                        ? redispatch.dispatch(before, active, time)
+                        : Step.of(before));
       }
     }
     return step;
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/Admission.java
@@ -190,7 +190,14 @@
         charged
             .budget(settings, active.service(), time)
             .earn(settings, charged.peers().hostCount());
-    return dispatcher.dispatch(charged.withBudget(active.service(), budget), active, time);
+    DispatchState earned = charged.withBudget(active.service(), budget);
+    return dispatcher
+        .dispatch(earned, active, time)
+        .andThen(
+            next ->
+                budget.allows()
+                    ? dispatcher.waiting().onRetryEarned(next, active.service(), time)
+                    : Step.of(next));
   }
 
   private static ActiveRequest activate(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -10,6 +10,8 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.overload.StartupQueue;
+import org.parsleyhead.core.overload.TargetShareOrder;
+import org.parsleyhead.core.overload.WaitingQueue;
 import org.parsleyhead.core.quarantine.Quarantine;
 import org.parsleyhead.core.serving.ServiceCatalogue;
 import org.pcollections.HashTreePMap;
@@ -31,6 +33,7 @@
  * @param earliestTakeover the earliest instant at which instances without an owner can get one
  * @param startup the requests that wait until this host knows its catalogue and instances
  * @param quarantine the evidence about requests that may end their servers
+ * @param waiting the active requests that wait for capacity, in order
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -43,7 +46,8 @@
     AdapterVersions versions,
     MonotonicTime earliestTakeover,
     StartupQueue<ReceivedRequest> startup,
-    Quarantine quarantine) {
+    Quarantine quarantine,
+    WaitingQueue waiting) {
 
   /** Returns the state of a process that started at an instant. */
   public static DispatchState initial(MonotonicTime time) {
@@ -58,7 +62,8 @@
         AdapterVersions.NONE,
         MonotonicTime.ORIGIN,
         StartupQueue.startedAt(time),
-        Quarantine.EMPTY);
+        Quarantine.EMPTY,
+        WaitingQueue.empty(new TargetShareOrder()));
   }
 
   /** Returns the number of requests that are active or wait for the catalogue. */
@@ -124,7 +129,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withInstances(InstanceTable next) {
@@ -139,7 +145,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -147,7 +154,7 @@
   }
 
   DispatchState withoutRequest(long key) {
-    return withRequests(requests.minus(key));
+    return withRequests(requests.minus(key)).withWaiting(waiting.without(key));
   }
 
   DispatchState withBucket(String account, AccountBucket bucket) {
@@ -166,7 +173,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -185,7 +193,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withVersions(AdapterVersions next) {
@@ -200,7 +209,8 @@
         next,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withEarliestTakeover(MonotonicTime time) {
@@ -215,7 +225,8 @@
         versions,
         time,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withPeers(PeerTable next) {
@@ -230,7 +241,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withStop(StopPlan next) {
@@ -245,7 +257,8 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -267,7 +280,8 @@
         versions,
         earliestTakeover,
         next,
-        quarantine);
+        quarantine,
+        waiting);
   }
 
   DispatchState withQuarantine(Quarantine next) {
@@ -282,7 +296,26 @@
         versions,
         earliestTakeover,
         startup,
-        next);
+        next,
+        waiting);
+  }
+
+  DispatchState withWaiting(WaitingQueue next) {
+    return next == waiting
+        ? this
+        : new DispatchState(
+            catalogue,
+            instances,
+            requests,
+            buckets,
+            budgets,
+            peers,
+            stop,
+            versions,
+            earliestTakeover,
+            startup,
+            quarantine,
+            next);
   }
 
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
@@ -297,6 +330,7 @@
         versions,
         earliestTakeover,
         startup,
-        quarantine);
+        quarantine,
+        waiting);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -105,7 +105,9 @@
       return admission.stop(state, stopping.plan(), time);
     }
     if (event instanceof DispatchEvent.Tick) {
-      return quarantine.onTick(removeExpired(state, time), time);
+      return quarantine
+          .onTick(removeExpired(state, time), time)
+          .andThen(next -> dispatcher.waiting().onTick(next, time));
     }
     if (event instanceof DispatchEvent.LiveHostsChanged changed) {
       return quarantine.onHostsChanged(liveHostsChanged(state, changed), time);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.overload.WaitLine;
 import org.parsleyhead.core.quarantine.Verdict;
 import org.parsleyhead.core.serving.AccountLimits;
 import org.parsleyhead.core.serving.EngineProfile;
@@ -32,21 +33,24 @@
   private final InstanceChoice choice;
   private final AdapterLoads loads;
   private final RequestRetries retries;
+  private final WaitingRequests waiting;
 
   RequestDispatcher(DispatchSettings settings, InstanceChoice choice) {
     this.settings = settings;
     this.choice = choice;
-    this.loads = new AdapterLoads(settings, this::dispatch);
+    this.waiting = new WaitingRequests(settings, this::dispatch);
+    this.loads = new AdapterLoads(settings, waiting, this::dispatch);
     this.retries = new RequestRetries(settings);
   }
 
   Step<DispatchState, DispatchEffect> dispatch(
-      DispatchState state, ActiveRequest active, MonotonicTime time) {
+      DispatchState before, ActiveRequest active, MonotonicTime time) {
+    DispatchState state = before.withWaiting(before.waiting().without(active.key()));
     if (active.expired(time)) {
       return expire(state, active, time);
     }
     if (active.progress().attempts() > 0 && !retries.allows(state, active, time)) {
-      return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
+      return awaitRetry(state, active, time);
     }
     Verdict verdict = verdict(state, active, time);
     return switch (verdict.decision()) {
@@ -56,6 +60,26 @@
     };
   }
 
+  /** Lets a request that has not run wait for a retry in the budget of its service. */
+  private Step<DispatchState, DispatchEffect> awaitRetry(
+      DispatchState state, ActiveRequest active, MonotonicTime time) {
+    WaitLine line = new WaitLine(WaitLine.Capacity.RETRY, active.service());
+    MonotonicTime giveUpAt = RequestTimeouts.retryWaitEnd(active);
+    boolean waits =
+        active.mayBeSentAgain()
+            && active.progress().possibleRuns() == 0
+            && !active.progress().responseStarted()
+            && waiting.mayWait(state, active, line, giveUpAt, time);
+    return waits
+        ? waiting.enqueue(state, active, line, giveUpAt, time)
+        : RequestCompletion.fail(
+            state,
+            active,
+            DispatchRefusal.Code.NO_ROOM,
+            waiting.retryAfter(state, active, line),
+            time);
+  }
+
   private Verdict verdict(DispatchState state, ActiveRequest active, MonotonicTime time) {
     return state
         .quarantine()
@@ -102,12 +126,18 @@
       return Step.of(state);
     }
     return switch (active.progress().phase()) {
-      case WAITING -> dispatch(state, active, time);
+      case WAITING ->
+          waiting.onWake(state, active, time).orElseGet(() -> dispatch(state, active, time));
       case LOADING -> loads.onWake(state, active, time);
       case SENT -> onAttemptWake(state, active, time);
     };
   }
 
+  /** Returns the handling of the requests that wait for capacity. */
+  WaitingRequests waiting() {
+    return waiting;
+  }
+
   /** Returns the handling of the loads that requests wait for. */
   AdapterLoads loads() {
     return loads;
@@ -239,7 +269,12 @@
   private Step<DispatchState, DispatchEffect> awaitAcceptance(
       DispatchState state, ActiveRequest active, Duration delay, MonotonicTime time) {
     if (settings.waitPolicy().waits(delay, active.deadline().since(time))) {
-      return RequestWakes.schedule(state, active.with(active.progress().waiting()), delay, time);
+      return waiting.enqueue(
+          state,
+          active,
+          new WaitLine(WaitLine.Capacity.SERVER, active.service()),
+          time.plus(delay),
+          time);
     }
     Duration retryAfter = settings.retryAfter().retryAfter(delay, active.request().hash());
     return RequestCompletion.fail(state, active, DispatchRefusal.Code.NO_ROOM, retryAfter, time);
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestTimeouts.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestTimeouts.java
@@ -38,6 +38,16 @@
     return Duration.ofMillis((long) Math.min(target, fraction));
   }
 
+  /**
+   * Returns until when a request that has not run waits for a retry: while it can meet its latency
+   * target, or for half of the time to its deadline, the rest of which its caller needs to return.
+   */
+  static MonotonicTime retryWaitEnd(ActiveRequest active) {
+    Duration half = active.deadline().since(active.receivedAt()).dividedBy(2);
+    Duration target = active.route().latencyTarget();
+    return active.receivedAt().plus(half.compareTo(target) > 0 ? half : target);
+  }
+
   /**
    * Returns the delay from a send to the first check whether the server is silent; the time until
    * the deadline if the request may not run again.
