--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterLoads.java
@@ -72,7 +72,10 @@
     }
     if (!mayRequest(active, time)) {
       WaitLine line = new WaitLine(WaitLine.Capacity.ADAPTER_SLOT, active.service());
-      return active.progress().responseStarted() || loadTimeElapsed(active, time)
+      MonotonicTime giveUpAt = loadWaitEnd(active);
+      return active.progress().responseStarted()
+              || loadTimeElapsed(active, time)
+              || !waiting.mayWait(state, active, line, giveUpAt, time)
           ? RequestCompletion.fail(
               state,
               active,
@@ -80,11 +83,7 @@
               waiting.retryAfter(state, active, line),
               time)
           : waiting.enqueue(
-              state,
-              active.with(active.progress().withoutLoadRequests()),
-              line,
-              loadWaitEnd(active),
-              time);
+              state, active.with(active.progress().withoutLoadRequests()), line, giveUpAt, time);
     }
     ActiveRequest loading = active.with(active.progress().requestingLoad(view.identifier(), time));
     return Step.<DispatchState, DispatchEffect>of(
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestDispatcher.java
@@ -49,6 +49,9 @@
     if (active.expired(time)) {
       return expire(state, active, time);
     }
+    if (waiting.hopeless(active, time)) {
+      return refuse(state, active, DispatchRefusal.Code.NO_ROOM, time);
+    }
     if (active.progress().attempts() > 0 && !retries.allows(state, active, time)) {
       return awaitRetry(state, active, time);
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
@@ -5,8 +5,8 @@
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Step;
+import org.parsleyhead.core.overload.DeadlineEstimate;
 import org.parsleyhead.core.overload.QueuedRequest;
-import org.parsleyhead.core.overload.RequestRank;
 import org.parsleyhead.core.overload.WaitLine;
 import org.parsleyhead.core.overload.WaitingQueue;
 import org.parsleyhead.core.serving.AccountLimits;
@@ -50,9 +50,15 @@
       MonotonicTime giveUpAt,
       MonotonicTime time) {
     Duration certain = state.waiting().certainWait(line, active.priority());
-    RequestRank rank = ranks.withoutLoad(active, time);
-    boolean hopeless = certain.plus(rank.work()).compareTo(rank.untilDeadline()) > 0;
-    return !hopeless && time.plus(certain).isBefore(giveUpAt);
+    return !DeadlineEstimate.hopeless(ranks.withoutLoad(active, time), certain)
+        && time.plus(certain).isBefore(giveUpAt);
+  }
+
+  /** Returns whether a request that has not run cannot be answered in time, even if sent now. */
+  boolean hopeless(ActiveRequest active, MonotonicTime time) {
+    return active.progress().possibleRuns() == 0
+        && !active.progress().responseStarted()
+        && DeadlineEstimate.hopeless(ranks.withoutLoad(active, time), Duration.ZERO);
   }
 
   /**
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryWaitTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryWaitTests.java
@@ -8,6 +8,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -100,4 +101,18 @@
     assertTrue(host.state().waiting().size() <= WaitingQueue.MAXIMUM_REQUESTS);
     assertEquals(requests, refused + host.state().waiting().size());
   }
+
+  @Test
+  @DisplayName(
+      "is refused at once, not sent, if its prompt cannot be processed before its deadline")
+  void refusesHopeless() {
+    Optional<ModelWork> large =
+        Optional.of(new ModelWork(ADAPTER, 9_190, 50, List.of(new PromptPart(7, 9_190))));
+    List<DispatchEffect> effects = host.receive("/chat/x", large, Duration.ofMillis(50), key -> {});
+    assertEquals(
+        DispatchRefusal.Code.NO_ROOM, only(effects, DispatchEffect.Refuse.class).refusal().code());
+    only(
+        host.receive("/chat/x", large, Duration.ofMillis(100), key -> {}),
+        DispatchEffect.Send.class);
+  }
 }
