--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AttemptEventHandler.java
@@ -50,7 +50,7 @@
     if (active == null || !active.atInstance(silent.attempt())) {
       return Step.of(state);
     }
-    return dispatcher.leaveSilentServer(state, active, time);
+    return dispatcher.silentAttempts().leaveSilentServer(state, active, time);
   }
 
   DispatchState onAttemptKept(DispatchState state, DispatchEvent.AttemptKept kept) {
