--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/WaitingQueue.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/WaitingQueue.java
@@ -16,8 +16,8 @@
  * <p>Answers more requests than there is capacity for. Immutable and thread-safe. Every operation
  * takes logarithmic time: a turn is a fixed instant that is replaced at most once, when the request
  * is first in its line and can no longer meet its latency target. A client account with more than
- * an equal share of the waiting requests gets later turns for the excess, as if the accounts were
- * served in rounds.
+ * twice an equal share of the waiting requests gets later turns for the excess, as if the accounts
+ * were served in rounds.
  */
 public final class WaitingQueue {
 
@@ -27,6 +27,12 @@
   /** A request is refused only if it is too late even with half of the expected wait. */
   private static final double CERTAIN_FRACTION = 0.5;
 
+  /** Share of the time to the deadline after which a request has its turn at the latest. */
+  private static final double LATEST_TURN_SHARE = 0.8;
+
+  /** Multiple of the equal share that an account may use, since equal accounts vary by chance. */
+  private static final double SHARE_TOLERANCE = 2;
+
   private final RankOrder order;
   private final PMap<Long, Queued> requests;
   private final PMap<WaitLine, WaitingLine> lines;
@@ -57,7 +63,7 @@
   /** Returns this queue with a request, which must not be in it. */
   public WaitingQueue with(QueuedRequest request, MonotonicTime time) {
     RequestRank rank = request.rankAt(time);
-    MonotonicTime turn = time.plus(order.turn(rank)).plus(excess(request));
+    MonotonicTime turn = time.plus(delayed(order.turn(rank), rank, excess(request)));
     return with(request, new WaitingLine.Place(turn, request.key(), !rank.meetsTarget()), time);
   }
 
@@ -71,10 +77,24 @@
         all.plus(place, request.key()));
   }
 
-  /** Returns the delay of the turn of a request whose account has more than its equal share. */
+  /**
+   * Returns a turn after a delay. A delay moves no turn beyond the share of the time to the
+   * deadline that leaves time for the response, so that no account starves.
+   */
+  private static Duration delayed(Duration turn, RequestRank rank, Duration delay) {
+    Duration latest =
+        Duration.ofNanos((long) (rank.limit().toNanos() * LATEST_TURN_SHARE))
+            .minus(rank.work())
+            .minus(rank.waited());
+    Duration delayed = turn.plus(delay);
+    Duration bounded = delayed.compareTo(latest) < 0 ? delayed : latest;
+    return bounded.compareTo(turn) > 0 ? bounded : turn;
+  }
+
+  /** Returns the delay of the turn of a request whose account has too large a share. */
   private Duration excess(QueuedRequest request) {
     int own = accounts.getOrDefault(request.account(), 0);
-    double share = accounts.isEmpty() ? 0 : (double) requests.size() / accounts.size();
+    double share = accounts.isEmpty() ? 0 : SHARE_TOLERANCE * requests.size() / accounts.size();
     if (own <= share) {
       return Duration.ZERO;
     }
