--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchEffect.java
@@ -7,6 +7,7 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.Instance;
 import org.parsleyhead.core.overload.RequestRank;
+import org.parsleyhead.core.overload.WaitLine;
 import org.parsleyhead.core.quarantine.Audience;
 import org.parsleyhead.core.quarantine.Standing;
 import org.parsleyhead.core.quarantine.Trait;
@@ -83,6 +84,28 @@
   record RequestLoad(String instance, AdapterKey adapter, String identifier, RequestRank rank)
       implements DispatchEffect {}
 
+  /**
+   * Reports that a request waits for capacity.
+   *
+   * @param request the request
+   * @param line what it waits for
+   * @param rank its rank
+   * @param expectedWait the expected wait
+   */
+  record WaitBegan(ServingRequest request, WaitLine line, RequestRank rank, Duration expectedWait)
+      implements DispatchEffect {}
+
+  /**
+   * Reports that a request that waited goes on, since there is capacity.
+   *
+   * @param request the request
+   * @param line what it waited for
+   * @param waited the time for which it waited
+   * @param expectedWait the wait that was expected
+   */
+  record WaitEnded(ServingRequest request, WaitLine line, Duration waited, Duration expectedWait)
+      implements DispatchEffect {}
+
   /**
    * Tells other hosts the evidence about requests that may end their servers.
    *
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
@@ -1,6 +1,7 @@
 package org.parsleyhead.core.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.parsleyhead.core.api.ClientAccountName;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -79,13 +80,26 @@
             active.account().map(AccountLimits::name).map(ClientAccountName::text).orElse(""),
             ranks.withoutLoad(active, time),
             time,
-            giveUpAt);
+            giveUpAt,
+            state.waiting().expectedWait(line, active.priority()));
     WaitingQueue queue = state.waiting().with(queued, time).settled(line, time);
     DispatchState next = state.withWaiting(queue);
     return RequestWakes.schedule(next, waiting, delay(next, queued, time), time)
+        .with(waitBegan(active, queued))
         .andThen(added -> bounded(added, time));
   }
 
+  /** Returns the report of a request that begins to wait; none if it has looked for capacity. */
+  private static List<DispatchEffect> waitBegan(ActiveRequest active, QueuedRequest queued) {
+    boolean waited =
+        active.progress().phase() == Phase.WAITING && active.progress().wakeNumber() > 0;
+    return waited
+        ? List.of()
+        : List.of(
+            new DispatchEffect.WaitBegan(
+                active.request(), queued.line(), queued.rank(), queued.expectedWait()));
+  }
+
   private Step<DispatchState, DispatchEffect> bounded(DispatchState state, MonotonicTime time) {
     if (state.waiting().size() <= WaitingQueue.MAXIMUM_REQUESTS) {
       return Step.of(state);
@@ -170,17 +184,24 @@
       if (step.state().waiting().find(key).isPresent()) {
         return step;
       }
-      step = step.andThen(next -> Step.of(counted(next, key, line, time)));
+      step = step.andThen(next -> waitEnded(next, first.get(), time));
     }
     return step;
   }
 
-  /** Counts a request that has left a line, unless it was refused. */
-  private static DispatchState counted(
-      DispatchState state, long key, WaitLine line, MonotonicTime time) {
-    return state.requests().containsKey(key)
-        ? state.withWaiting(state.waiting().taken(line, time))
-        : state;
+  /** Counts and reports a request that has left its line, unless it was refused. */
+  private static Step<DispatchState, DispatchEffect> waitEnded(
+      DispatchState state, QueuedRequest queued, MonotonicTime time) {
+    ActiveRequest active = state.requests().get(queued.key());
+    return active == null
+        ? Step.of(state)
+        : Step.of(
+            state.withWaiting(state.waiting().taken(queued.line(), time)),
+            new DispatchEffect.WaitEnded(
+                active.request(),
+                queued.line(),
+                time.since(queued.since()),
+                queued.expectedWait()));
   }
 
   private boolean available(DispatchState state, WaitLine line, MonotonicTime time) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/QueuedRequest.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/QueuedRequest.java
@@ -1,5 +1,6 @@
 package org.parsleyhead.core.overload;
 
+import java.time.Duration;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Preconditions;
 
@@ -14,6 +15,7 @@
  * @param rank its rank when it began to wait
  * @param since when it began to wait
  * @param giveUpAt until when it waits
+ * @param expectedWait the wait that was expected when it began to wait
  */
 public record QueuedRequest(
     long key,
@@ -21,7 +23,8 @@
     String account,
     RequestRank rank,
     MonotonicTime since,
-    MonotonicTime giveUpAt) {
+    MonotonicTime giveUpAt,
+    Duration expectedWait) {
 
   /** Validates the components. */
   public QueuedRequest {
@@ -30,6 +33,7 @@
     Preconditions.requireNonNull(rank, "rank");
     Preconditions.requireNonNull(since, "since");
     Preconditions.requireNonNull(giveUpAt, "giveUpAt");
+    Preconditions.requireNonNull(expectedWait, "expectedWait");
   }
 
   /** Returns the rank at an instant. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/WaitingQueue.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/overload/WaitingQueue.java
@@ -1,9 +1,10 @@
 package org.parsleyhead.core.overload;
 
 import java.time.Duration;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -178,9 +179,16 @@
         : Duration.ZERO;
   }
 
-  /** Returns the number of waiting requests of a line by priority, for the metrics. */
-  public Map<Integer, Integer> priorities(WaitLine line) {
-    return lines.getOrDefault(line, WaitingLine.EMPTY).priorities();
+  /**
+   * Returns the times since the receipt of the waiting requests whose priorities match, for the
+   * metrics; takes linear time.
+   */
+  public List<Duration> ages(IntPredicate priorities, MonotonicTime time) {
+    return requests.values().stream()
+        .map(queued -> queued.request().rankAt(time))
+        .filter(rank -> priorities.test(rank.priority()))
+        .map(RequestRank::waited)
+        .toList();
   }
 
   /** Returns all lines that have ever been used. */
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/FakeCapacity.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/FakeCapacity.java
@@ -122,7 +122,8 @@
     waiting.put(key, call);
     MonotonicTime deadline = call.arrivedAt.plus(call.limit);
     String account = ordered ? call.account : "";
-    queue = queue.with(new QueuedRequest(key, LINE, account, rank, now, deadline), now);
+    queue =
+        queue.with(new QueuedRequest(key, LINE, account, rank, now, deadline, Duration.ZERO), now);
     schedule(deadline, () -> leave(key));
     if (queue.size() > WaitingQueue.MAXIMUM_REQUESTS) {
       long last = queue.last().orElseThrow().key();
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/WaitingQueueTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/overload/WaitingQueueTests.java
@@ -29,7 +29,8 @@
             Duration.ofSeconds(5),
             Duration.ofMillis(100));
     QueuedRequest request =
-        new QueuedRequest(++lastKey, LINE, account, rank, time, time.plus(Duration.ofSeconds(5)));
+        new QueuedRequest(
+            ++lastKey, LINE, account, rank, time, time.plus(Duration.ofSeconds(5)), Duration.ZERO);
     queue = queue.with(request, time);
     return lastKey;
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/DispatchEffectExecutor.java
@@ -38,6 +38,7 @@
   private final EventSender<DispatchEvent> dispatch;
   private final Ring<FleetEvent> fleet;
   private final GatewayMetrics metrics;
+  private final WaitReports waits;
   private final Map<Long, Exchange> exchanges = new HashMap<>();
 
   DispatchEffectExecutor(
@@ -53,6 +54,7 @@
     this.dispatch = dispatch;
     this.fleet = fleet;
     this.metrics = metrics;
+    this.waits = new WaitReports(metrics);
   }
 
   @Override
@@ -146,6 +148,10 @@
           delayed.code(),
           "time_left_ms",
           delayed.timeLeft().toMillis());
+    } else if (effect instanceof DispatchEffect.WaitBegan began) {
+      waits.began(began);
+    } else if (effect instanceof DispatchEffect.WaitEnded ended) {
+      waits.ended(ended);
     } else if (effect instanceof DispatchEffect.DeliverBufferedResponse deliver) {
       deliverBufferedResponse(deliver);
     } else if (effect instanceof DispatchEffect.Abort abort) {
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayMetrics.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.IntPredicate;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -37,6 +40,15 @@
   private static final MetricName CONNECTIONS =
       MetricName.of("parsleyhead_upstream_connections_total");
 
+  private static final MetricName WAITING = MetricName.of("parsleyhead_waiting_requests");
+  private static final MetricName WAITING_AGE = MetricName.of("parsleyhead_waiting_age_seconds");
+  private static final MetricName WAITS = MetricName.of("parsleyhead_wait_seconds");
+  private static final MetricName EXPECTED_WAITS =
+      MetricName.of("parsleyhead_expected_wait_seconds");
+
+  /** Priorities of this value and above have one label, so that the labels are bounded. */
+  private static final int LOWEST_PRIORITY = 2;
+
   private final Metrics metrics = new Metrics(new MetricRegistry());
 
   /** Registers the gauges, whose values are read whenever the metrics are rendered. */
@@ -52,6 +64,25 @@
     metrics.gauge(SILENCE, () -> silence.get().toMillis() / MILLISECONDS_PER_SECOND);
   }
 
+  /**
+   * Registers the number of the waiting requests and the age of the oldest one, by priority.
+   *
+   * @param ages returns the ages of the waiting requests whose priority matches
+   */
+  void registerWaiting(Function<IntPredicate, List<Duration>> ages) {
+    for (int label = 0; label <= LOWEST_PRIORITY; label++) {
+      int priority = label;
+      IntPredicate matches = value -> Math.min(LOWEST_PRIORITY, value) == priority;
+      metrics.gauge(
+          WAITING.with("priority", Integer.toString(priority)), () -> ages.apply(matches).size());
+      metrics.gauge(
+          WAITING_AGE.with("priority", Integer.toString(priority)),
+          () ->
+              ages.apply(matches).stream().mapToLong(Duration::toMillis).max().orElse(0)
+                  / MILLISECONDS_PER_SECOND);
+    }
+  }
+
   /** Registers the number of connections to instances that were opened so far. */
   void registerConnections(LongSupplier opened) {
     metrics.gauge(CONNECTIONS, opened::getAsLong);
@@ -65,6 +96,11 @@
     metrics.timer(REQUEST_TIME).update(elapsed);
   }
 
+  void waitEnded(Duration waited, Duration expected) {
+    metrics.timer(WAITS).update(waited);
+    metrics.timer(EXPECTED_WAITS).update(expected);
+  }
+
   void requestRefused(DispatchRefusal.Code code) {
     metrics.counter(REFUSALS.with("code", code.name())).inc();
   }
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -191,6 +191,7 @@
         () -> dispatch.state().activeRequests(),
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
+    metrics.registerWaiting(priorities -> dispatch.state().waiting().ages(priorities, clock.now()));
     metrics.registerConnections(upstreams::openedConnections);
     metrics.registerPublicationGauges(
         () -> publication.state().revision(),
