--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchState.java
@@ -10,6 +10,8 @@
 import org.parsleyhead.core.instance.AdapterKey;
 import org.parsleyhead.core.instance.AdapterVersions;
 import org.parsleyhead.core.overload.StartupQueue;
+import org.parsleyhead.core.overload.TargetShareOrder;
+import org.parsleyhead.core.overload.WaitingQueue;
 import org.parsleyhead.core.placement.PlacementState;
 import org.parsleyhead.core.quarantine.Quarantine;
 import org.parsleyhead.core.serving.ServiceCatalogue;
@@ -33,6 +35,7 @@
  * @param startup the requests that wait until this host knows its catalogue and instances
  * @param quarantine the evidence about requests that may end their servers
  * @param placement the evacuated failure domains and the cold servers
+ * @param waiting the active requests that wait for capacity, in order
  */
 public record DispatchState(
     ServiceCatalogue catalogue,
@@ -46,7 +49,8 @@
     MonotonicTime earliestTakeover,
     StartupQueue<ReceivedRequest> startup,
     Quarantine quarantine,
-    PlacementState placement) {
+    PlacementState placement,
+    WaitingQueue waiting) {
 
   /** Returns the state of a process that started at an instant. */
   public static DispatchState initial(MonotonicTime time) {
@@ -62,7 +66,8 @@
         MonotonicTime.ORIGIN,
         StartupQueue.startedAt(time),
         Quarantine.EMPTY,
-        PlacementState.EMPTY);
+        PlacementState.EMPTY,
+        WaitingQueue.empty(new TargetShareOrder()));
   }
 
   /** Returns the number of requests that are active or wait for the catalogue. */
@@ -129,7 +134,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withInstances(InstanceTable next) {
@@ -145,7 +151,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withRequest(ActiveRequest request) {
@@ -153,7 +160,7 @@
   }
 
   DispatchState withoutRequest(long key) {
-    return withRequests(requests.minus(key));
+    return withRequests(requests.minus(key)).withWaiting(waiting.without(key));
   }
 
   DispatchState withBucket(String account, AccountBucket bucket) {
@@ -173,7 +180,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withBudget(String service, RetryBudget budget) {
@@ -193,7 +201,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withVersions(AdapterVersions next) {
@@ -209,7 +218,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withEarliestTakeover(MonotonicTime time) {
@@ -225,7 +235,8 @@
         time,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withPeers(PeerTable next) {
@@ -241,7 +252,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withStop(StopPlan next) {
@@ -257,7 +269,8 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   RetryBudget budget(DispatchSettings settings, String service, MonotonicTime time) {
@@ -280,7 +293,8 @@
         earliestTakeover,
         next,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withQuarantine(Quarantine next) {
@@ -296,7 +310,8 @@
         earliestTakeover,
         startup,
         next,
-        placement);
+        placement,
+        waiting);
   }
 
   DispatchState withPlacement(PlacementState next) {
@@ -312,7 +327,27 @@
         earliestTakeover,
         startup,
         quarantine,
-        next);
+        next,
+        waiting);
+  }
+
+  DispatchState withWaiting(WaitingQueue next) {
+    return next == waiting
+        ? this
+        : new DispatchState(
+            catalogue,
+            instances,
+            requests,
+            buckets,
+            budgets,
+            peers,
+            stop,
+            versions,
+            earliestTakeover,
+            startup,
+            quarantine,
+            placement,
+            next);
   }
 
   private DispatchState withRequests(PMap<Long, ActiveRequest> next) {
@@ -328,6 +363,7 @@
         earliestTakeover,
         startup,
         quarantine,
-        placement);
+        placement,
+        waiting);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/DispatchTransition.java
@@ -110,7 +110,9 @@
       return admission.stop(state, stopping.plan(), time);
     }
     if (event instanceof DispatchEvent.Tick) {
-      return quarantine.onTick(placement.onTick(removeExpired(state, time), time), time);
+      return quarantine
+          .onTick(placement.onTick(removeExpired(state, time), time), time)
+          .andThen(next -> dispatcher.waiting().onTick(next, time));
     }
     if (event instanceof DispatchEvent.LiveHostsChanged changed) {
       return quarantine.onHostsChanged(
--- a/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
+++ b/parsleyhead-gateway/src/main/java/org/parsleyhead/gateway/process/GatewayProcess.java
@@ -195,6 +195,7 @@
         () -> fleet.state().liveHosts().size(),
         () -> dispatch.state().catalogue().version());
     metrics.registerServerConditions(() -> ServiceCondition.of(dispatch.state(), clock.now()));
+    metrics.registerWaiting(priorities -> dispatch.state().waiting().ages(priorities, clock.now()));
     metrics.registerConnections(upstreams::openedConnections);
     metrics.registerPlacementGauges(
         () -> dispatch.state().placement().evacuated().size(),
