--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/ColdFleetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/ColdFleetTests.java
@@ -125,7 +125,7 @@
   @ValueSource(longs = {1, 2, 3, 4, 5})
   @DisplayName("gets at most its rate in any second, also while hosts end or are cut off")
   void limitsSum(long seed) {
-    Random random = new Random(seed);
+    final Random random = new Random(seed);
     List<Host> hosts = new ArrayList<>(NAMES.stream().map(Host::new).toList());
     List<MonotonicTime> sends = new ArrayList<>();
     run(hosts, START, START.plus(Duration.ofSeconds(5)), sends);
--- a/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FailureDomainTests.java
+++ b/parsleyhead-integration/src/test/java/org/parsleyhead/integration/soak/FailureDomainTests.java
@@ -60,10 +60,10 @@
       "send nothing there, refuse if all are evacuated, and warm the servers up afterwards")
   void evacuate() throws Exception {
     try (SoakFleet fleet = new SoakFleet(directory, 3, 0)) {
-      SoakFleet.Server far = fleet.addServer(false, FAR);
+      final SoakFleet.Server far = fleet.addServer(false, FAR);
       fleet.hosts().forEach(SoakFleet.Host::awaitStarted);
       final long startedAt = pause(STARTUP_TIME);
-      SoakTraffic traffic = new SoakTraffic(fleet, 1);
+      final SoakTraffic traffic = new SoakTraffic(fleet, 1);
       pause(OBSERVATION_TIME);
       fleet.evacuate(FAR, true);
       final long farEmpty = pause(EVACUATION_BOUND);
