Ignore reported loads that are older than the known one

The load of a stream arrives with its first event, after those of shorter responses that the server sent later. The older one replaced the newer.

ServerConditionTests guards it; the tests of core.dispatch pass.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
@@ -31,7 +31,8 @@
   }
 
   /**
-   * Returns the condition after a response.
+   * Returns the condition after a response. A report that is older than the known one is ignored:
+   * that of a stream arrives with its first event, after those of shorter responses.
    *
    * @param report what it states; empty if it states nothing
    * @param ownRunning the requests of this host at the instance
@@ -44,7 +45,7 @@
       OptionalDouble measured,
       double floor,
       MonotonicTime time) {
-    if (report.isEmpty()) {
+    if (report.filter(received -> !outdated(received, time)).isEmpty()) {
       return reported()
           ? new ServerCondition(
               load,
@@ -62,6 +63,10 @@
         otherHosts);
   }
 
+  private boolean outdated(ReportedLoad report, MonotonicTime time) {
+    return load.filter(known -> time.minus(report.age()).isBefore(known.reportedAt())).isPresent();
+  }
+
   /** Returns the condition after a response has contradicted or confirmed the reported load. */
   ServerCondition withEvidence(boolean contradicted) {
     return new ServerCondition(load.map(told -> told.withEvidence(contradicted)), pace, otherHosts);
