Estimates of work do not rely on the stated maximum of the output

The stated number of output tokens is a maximum, so a caller that states a very large one would have been refused as hopeless, or ranked last. Refusals count only the prompt; ranks count at most as many output tokens as the prompt has. A Retry-After is at least 150 ms again, since the line for adapter slots understates the wait.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestRanks.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RequestRanks.java
@@ -9,7 +9,8 @@
  * Determines the ranks of active requests.
  *
  * <p>Immutable and thread-safe. An output token counts as much work as a prompt token, since no
- * rate of generation is known.
+ * rate of generation is known, but no more of them than the prompt has, since their stated number
+ * is a maximum.
  */
 final class RequestRanks {
 
@@ -27,14 +28,24 @@
     Duration load =
         view.adapters().formerlyHeld(work.adapter()) ? settings.warmLoad() : settings.coldLoad();
     int cached = view.prefixCache().cachedTokens(work, active.prefixHashes());
-    return rank(active, load.plus(processing(work.totalTokens() - cached)), time);
+    return rank(active, load.plus(processing(tokens(work) - cached)), time);
   }
 
   /** Returns the rank of a request that can be sent without a load to an unknown instance. */
   RequestRank withoutLoad(ActiveRequest active, MonotonicTime time) {
+    Optional<ModelWork> work = active.request().work();
+    return rank(active, work.map(known -> processing(tokens(known))).orElse(Duration.ZERO), time);
+  }
+
+  /** Returns the rank of a request whose work is only the processing of its prompt. */
+  RequestRank ofPrompt(ActiveRequest active, MonotonicTime time) {
     Optional<ModelWork> work = active.request().work();
     return rank(
-        active, work.map(known -> processing(known.totalTokens())).orElse(Duration.ZERO), time);
+        active, work.map(known -> processing(known.promptTokens())).orElse(Duration.ZERO), time);
+  }
+
+  private static int tokens(ModelWork work) {
+    return work.promptTokens() + Math.min(work.promptTokens(), work.maximumOutputTokens());
   }
 
   private static RequestRank rank(ActiveRequest active, Duration work, MonotonicTime time) {
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
@@ -27,8 +27,11 @@
   /** Requests of one line that are dispatched for one event, which bounds its duration. */
   private static final int MAXIMUM_DISPATCHES = 8;
 
-  /** Expected delay until there is capacity that no line waits for. */
-  private static final Duration EXPECTED_CAPACITY_DELAY = Duration.ofMillis(150);
+  /**
+   * Minimum delay that a refused caller is told: most requests take as long, and a request that
+   * leaves the line for adapter slots may still be refused its load, so that line seems short.
+   */
+  private static final Duration MINIMUM_CAPACITY_DELAY = Duration.ofMillis(150);
 
   private final DispatchSettings settings;
   private final RequestRanks ranks;
@@ -51,7 +54,7 @@
       MonotonicTime giveUpAt,
       MonotonicTime time) {
     Duration certain = state.waiting().certainWait(line, active.priority());
-    return !DeadlineEstimate.hopeless(ranks.withoutLoad(active, time), certain)
+    return !DeadlineEstimate.hopeless(ranks.ofPrompt(active, time), certain)
         && time.plus(certain).isBefore(giveUpAt);
   }
 
@@ -59,7 +62,7 @@
   boolean hopeless(ActiveRequest active, MonotonicTime time) {
     return active.progress().possibleRuns() == 0
         && !active.progress().responseStarted()
-        && DeadlineEstimate.hopeless(ranks.withoutLoad(active, time), Duration.ZERO);
+        && DeadlineEstimate.hopeless(ranks.ofPrompt(active, time), Duration.ZERO);
   }
 
   /**
@@ -116,11 +119,10 @@
 
   /** Returns when the caller of a refused request should return. */
   Duration retryAfter(DispatchState state, ActiveRequest active, WaitLine line) {
-    Duration expected =
-        state.waiting().first(line).isEmpty()
-            ? EXPECTED_CAPACITY_DELAY
-            : state.waiting().expectedWait(line, active.priority());
-    return settings.retryAfter().retryAfter(expected, active.request().hash());
+    Duration expected = state.waiting().expectedWait(line, active.priority());
+    Duration delay =
+        expected.compareTo(MINIMUM_CAPACITY_DELAY) > 0 ? expected : MINIMUM_CAPACITY_DELAY;
+    return settings.retryAfter().retryAfter(delay, active.request().hash());
   }
 
   /** Handles the wake of a request; empty if it does not wait in a line. */
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryWaitTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/RetryWaitTests.java
@@ -115,4 +115,16 @@
         host.receive("/chat/x", large, Duration.ofMillis(100), key -> {}),
         DispatchEffect.Send.class);
   }
+
+  @Test
+  @DisplayName("is not refused for the output that it may have, whose stated length is a maximum")
+  void countsPromptOnly() {
+    Optional<ModelWork> open =
+        Optional.of(new ModelWork(ADAPTER, 100, 10_000_000, List.of(new PromptPart(7, 100))));
+    assertEquals(
+        0,
+        count(
+            host.receive("/chat/x", open, Duration.ofSeconds(5), key -> {}),
+            DispatchEffect.Refuse.class));
+  }
 }
