Estimate the work that other hosts have sent for an adapter since their last report

Change: a host that repeatedly sends requests for an adapter assumes that the others do the same and adds their unreported work to the cost of the holders, which orders further copies earlier.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HolderSelection.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/HolderSelection.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.parsleyhead.core.api.MonotonicTime;
 import org.parsleyhead.core.api.Rendezvous;
+import org.parsleyhead.core.instance.AdapterKey;
 
 /**
  * Selects among the servers that hold the adapter of a request.
@@ -103,6 +104,25 @@
     return tokens / settings.prefillTokensPerMillisecond();
   }
 
+  /**
+   * Returns the expected prefill time of the prompts for an adapter that the other hosts have sent
+   * to each of its holders since their last report, if their demand is that of this host.
+   *
+   * @param adapter the adapter
+   * @param holders the number of servers that hold it
+   * @param context the observations of this host
+   * @param time the current time
+   */
+  double unreportedWork(
+      AdapterKey adapter, int holders, PlacementContext context, MonotonicTime time) {
+    double tokens =
+        context.demand().of(adapter).tokensPerMillisecond(time)
+            * (context.hosts() - 1)
+            * REPORT_AGE_MILLISECONDS
+            / Math.max(1, holders);
+    return tokens / settings.prefillTokensPerMillisecond();
+  }
+
   /**
    * Returns the key of the prefix that a request shares with others if it is most of the prompt, so
    * that its prefill is saved; otherwise the key of the request, which spreads the requests.
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LeastExpectedTime.java
@@ -114,18 +114,21 @@
     double holderLimit = Math.min(targetLeft, prefill + waitLeft * HOLDER_WAIT_FRACTION);
     List<Candidate> holders = new ArrayList<>();
     List<Candidate> loads = new ArrayList<>();
-    double lowestHolderCost = Double.POSITIVE_INFINITY;
     for (InstanceView view : candidates) {
       Candidate candidate = engineCandidate(request, engine, view, context.loadTimes(), time);
       if (candidate.loadRequirement() == Candidate.LoadRequirement.REQUIRED) {
         loads.add(candidate);
       } else {
         holders.add(candidate);
-        lowestHolderCost = Math.min(lowestHolderCost, candidate.cost());
       }
     }
+    double unreported = holderSelection.unreportedWork(adapter, holders.size(), context, time);
+    double lowestHolderCost =
+        holders.stream().mapToDouble(Candidate::cost).min().orElse(Double.POSITIVE_INFINITY)
+            + unreported;
     Optional<Candidate> holder =
-        holderSelection.select(request, holders, holderLimit, candidates.size(), context, time);
+        holderSelection.select(
+            request, holders, holderLimit - unreported, candidates.size(), context, time);
     if (loads.isEmpty() || lowestHolderCost <= holderLimit) {
       return holder;
     }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RecentDemand.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/RecentDemand.java
@@ -12,15 +12,15 @@
  * <p>Immutable and thread-safe. Kept in two generations, each of which covers 5 s and holds a
  * bounded number of adapters.
  *
- * @param young the requests for each adapter in the young generation
- * @param old the requests for each adapter in the old generation
+ * @param young the demand for each adapter that was requested in the young generation
+ * @param old the demand for each adapter that was last requested in the old generation
  * @param youngTokens the prompt tokens without cached ones in the young generation
  * @param oldTokens the prompt tokens without cached ones in the old generation
  * @param youngSince when the young generation began
  */
 record RecentDemand(
-    PMap<AdapterKey, Integer> young,
-    PMap<AdapterKey, Integer> old,
+    PMap<AdapterKey, AdapterDemand> young,
+    PMap<AdapterKey, AdapterDemand> old,
     long youngTokens,
     long oldTokens,
     MonotonicTime youngSince) {
@@ -35,10 +35,10 @@
   /** Returns this demand after a request was sent. */
   RecentDemand withRequest(AdapterKey adapter, long uncachedTokens, MonotonicTime time) {
     RecentDemand current = at(time);
-    Integer known = current.young.get(adapter);
-    boolean counted = known != null || current.young.size() < MAXIMUM_ADAPTERS;
+    boolean counted = current.young.containsKey(adapter) || current.young.size() < MAXIMUM_ADAPTERS;
+    AdapterDemand demand = current.of(adapter).withRequest(uncachedTokens, time);
     return new RecentDemand(
-        counted ? current.young.plus(adapter, known == null ? 1 : known + 1) : current.young,
+        counted ? current.young.plus(adapter, demand) : current.young,
         current.old,
         current.youngTokens + uncachedTokens,
         current.oldTokens,
@@ -58,6 +58,12 @@
     return (double) (current.youngTokens + current.oldTokens) / covered.toMillis();
   }
 
+  /** Returns the demand for an adapter as observed by this host. */
+  AdapterDemand of(AdapterKey adapter) {
+    AdapterDemand recent = young.get(adapter);
+    return recent == null ? old.getOrDefault(adapter, AdapterDemand.NONE) : recent;
+  }
+
   private RecentDemand at(MonotonicTime time) {
     Duration age = time.since(youngSince);
     if (age.compareTo(GENERATION) < 0) {
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AdapterPlacementTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/AdapterPlacementTests.java
@@ -112,6 +112,18 @@
     assertEquals("idle", load.instance());
   }
 
+  @Test
+  @DisplayName("an adapter in high demand is copied before reports show the load of other hosts")
+  void loadsCopyBeforeReports() {
+    DispatchFixture host = hostWith(DispatchFixture.instance("idle", "engine", false, 1, Map.of()));
+    host.apply(new DispatchEvent.LiveHostsChanged(List.of(), 70));
+    Optional<ModelWork> prompt =
+        Optional.of(new ModelWork(ADAPTER, 1_000, 9, List.of(new PromptPart(1, 1_000))));
+    host.send("/chat/x", prompt);
+    only(host.receive("/chat/x", prompt), DispatchEffect.Send.class);
+    only(host.receive("/chat/x", prompt), DispatchEffect.RequestLoad.class);
+  }
+
   @Test
   @DisplayName("an adapter without recent demand gets no second copy")
   void copiesNoRareAdapter() {
