--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/AdapterInventory.java
@@ -141,7 +141,7 @@
       boolean loading =
           load != null
               && !unloaded
-              && time.since(load.toldReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
+              && time.since(load.ownerReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
       if (loading) {
         next = next.plus(adapter, known.getValue());
         nextExpected = nextExpected.plus(adapter, byOwner && listed ? load.asReported() : load);
@@ -192,9 +192,10 @@
    */
   AdapterInventory withMissing(AdapterKey adapter, MonotonicTime time) {
     ExpectedLoad load = expected.get(adapter);
-    boolean late = load != null && time.since(load.toldReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
+    boolean late =
+        load != null && time.since(load.ownerReadyAt()).compareTo(MAXIMUM_LOAD_DELAY) < 0;
     return late
-        ? withExpectedLoad(adapter, load.withToldReadyAt(time.plus(LATE_LOAD_DELAY)))
+        ? withExpectedLoad(adapter, load.withOwnerReadyAt(time.plus(LATE_LOAD_DELAY)))
         : without(adapter, bounded(former.plus(adapter, time.nanoseconds())));
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ExpectedLoad.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ExpectedLoad.java
@@ -9,12 +9,12 @@
  * <p>Immutable and thread-safe.
  *
  * @param orderedAt when the load was ordered, as far as this host knows
- * @param toldReadyAt when the owner expects the adapter to be ready
+ * @param ownerReadyAt when the owner expects the adapter to be ready
  * @param warm whether the server held the adapter recently
  * @param reported whether a report of the owner has listed the adapter since
  */
 record ExpectedLoad(
-    MonotonicTime orderedAt, MonotonicTime toldReadyAt, boolean warm, boolean reported) {
+    MonotonicTime orderedAt, MonotonicTime ownerReadyAt, boolean warm, boolean reported) {
 
   /**
    * Time after an order during which owners do not unload the adapter, so that a rejection shows
@@ -25,7 +25,7 @@
   /** Returns when the adapter is ready by the owner's expectation and the learned load time. */
   MonotonicTime readyAt(Duration learned) {
     MonotonicTime learnedReadyAt = orderedAt.plus(learned);
-    return learnedReadyAt.isBefore(toldReadyAt) ? toldReadyAt : learnedReadyAt;
+    return learnedReadyAt.isBefore(ownerReadyAt) ? ownerReadyAt : learnedReadyAt;
   }
 
   /**
@@ -41,11 +41,11 @@
         || elapsed.compareTo(learned.multipliedBy(2)) <= 0;
   }
 
-  ExpectedLoad withToldReadyAt(MonotonicTime instant) {
+  ExpectedLoad withOwnerReadyAt(MonotonicTime instant) {
     return new ExpectedLoad(orderedAt, instant, warm, reported);
   }
 
   ExpectedLoad asReported() {
-    return reported ? this : new ExpectedLoad(orderedAt, toldReadyAt, warm, true);
+    return reported ? this : new ExpectedLoad(orderedAt, ownerReadyAt, warm, true);
   }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LoadTimes.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/LoadTimes.java
@@ -35,10 +35,10 @@
    * held that a server has never finished loading.
    */
   ExpectedLoad ordered(InstanceView view, DispatchEvent.LoadOrdered ordered, MonotonicTime time) {
-    Duration told = ordered.loadingFor().plus(ordered.readyIn());
+    Duration expected = ordered.loadingFor().plus(ordered.readyIn());
     boolean warm =
         view.adapters().formerlyHeld(ordered.adapter())
-            && told.compareTo(settings.coldLoad().dividedBy(2)) < 0;
+            && expected.compareTo(settings.coldLoad().dividedBy(2)) < 0;
     return new ExpectedLoad(
         time.minus(ordered.loadingFor()), time.plus(ordered.readyIn()), warm, false);
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlainExpectation.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/PlainExpectation.java
@@ -39,8 +39,8 @@
     return view.condition()
         .load()
         .map(
-            told ->
-                told.utilization(
+            report ->
+                report.utilization(
                     view.ownLoad().running(), view.condition().otherHosts().at(time), slots, time))
         .orElse((double) view.totalLoad().running() / slots);
   }
@@ -49,7 +49,7 @@
   static double queueing(InstanceView view, MonotonicTime time) {
     return view.condition()
         .load()
-        .map(told -> Math.max(0, utilization(view, time) - 1 + 1.0 / told.report().slots()))
+        .map(report -> Math.max(0, utilization(view, time) - 1 + 1.0 / report.report().slots()))
         .orElse(0.0);
   }
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ResponseReports.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ResponseReports.java
@@ -32,7 +32,7 @@
         firstResponse ? active.progress().assignment().estimate() : Optional.empty();
     InstanceView next = withResponse(view, report, estimate, time);
     return outcome == AttemptOutcome.NO_ROOM
-            && next.condition().load().filter(ToldLoad::statesRoom).isPresent()
+            && next.condition().load().filter(WeightedLoadReport::statesRoom).isPresent()
         ? next.withCondition(next.condition().withEvidence(true))
         : next;
   }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
@@ -16,7 +16,8 @@
  * @param pace the estimated pace
  * @param otherHosts the requests of the other hosts there, which they report themselves
  */
-record ServerCondition(Optional<ToldLoad> load, ServerPace pace, AveragedRunning otherHosts) {
+record ServerCondition(
+    Optional<WeightedLoadReport> load, ServerPace pace, AveragedRunning otherHosts) {
 
   static final ServerCondition UNREPORTED =
       new ServerCondition(Optional.empty(), ServerPace.USUAL, AveragedRunning.NONE);
@@ -54,9 +55,9 @@
           : this;
     }
     ReportedLoad newest = report.get();
-    ToldLoad told =
+    WeightedLoadReport told =
         load.map(known -> known.withReport(newest, ownRunning, time))
-            .orElseGet(() -> ToldLoad.first(newest, ownRunning, time));
+            .orElseGet(() -> WeightedLoadReport.first(newest, ownRunning, time));
     return new ServerCondition(
         Optional.of(told),
         pace.withResponse(newest.pace(), newest.age(), measured, floor, time),
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerPace.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerPace.java
@@ -13,14 +13,18 @@
  * more the reports of an instance differ from the observations of the same responses, the less they
  * count.
  *
- * @param told the logarithm of the reported pace
- * @param toldAt when it was reported
+ * @param reported the logarithm of the reported pace
+ * @param reportedAt when it was reported
  * @param observed the logarithm of the observed pace
  * @param observedAt when it was observed
  * @param error the mean difference of the two
  */
 record ServerPace(
-    double told, MonotonicTime toldAt, double observed, MonotonicTime observedAt, double error) {
+    double reported,
+    MonotonicTime reportedAt,
+    double observed,
+    MonotonicTime observedAt,
+    double error) {
 
   /** As usual, before anything was reported. */
   static final ServerPace USUAL =
@@ -76,8 +80,8 @@
       nextError += NEWEST_ERROR_WEIGHT * (difference - error);
     }
     return new ServerPace(
-        next.told,
-        next.toldAt,
+        next.reported,
+        next.reportedAt,
         former + NEWEST_OBSERVATION_WEIGHT * (newest - former),
         time,
         nextError);
@@ -87,7 +91,8 @@
   double at(MonotonicTime time) {
     double trust = trust();
     return Math.exp(
-        trust * decayed(told, toldAt, time) + (1 - trust) * decayed(observed, observedAt, time));
+        trust * decayed(reported, reportedAt, time)
+            + (1 - trust) * decayed(observed, observedAt, time));
   }
 
   /** Returns how far reports are believed, from 0 to 1: a half if they err by a factor of 2. */
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ToldLoad.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WeightedLoadReport.java
@@ -15,7 +15,8 @@
  * @param ownRunning the requests of this host that the report includes
  * @param trust how far reports of this instance are believed, from 0 to 1
  */
-record ToldLoad(ReportedLoad report, MonotonicTime reportedAt, int ownRunning, double trust) {
+record WeightedLoadReport(
+    ReportedLoad report, MonotonicTime reportedAt, int ownRunning, double trust) {
 
   /** After this time, about as much load can have come and gone as the report describes. */
   private static final double HALF_LIFE_NANOSECONDS = 300e6;
@@ -29,20 +30,20 @@
   private static final double CONTRADICTED_FACTOR = 0.5;
   private static final double CONFIRMED_FACTOR = 1.25;
 
-  static ToldLoad first(ReportedLoad report, int ownRunning, MonotonicTime time) {
-    return new ToldLoad(report, time.minus(report.age()), ownRunning, 1);
+  static WeightedLoadReport first(ReportedLoad report, int ownRunning, MonotonicTime time) {
+    return new WeightedLoadReport(report, time.minus(report.age()), ownRunning, 1);
   }
 
   /** Returns the load after a newer report. */
-  ToldLoad withReport(ReportedLoad next, int ownRunningNow, MonotonicTime time) {
-    return new ToldLoad(next, time.minus(next.age()), ownRunningNow, trust);
+  WeightedLoadReport withReport(ReportedLoad next, int ownRunningNow, MonotonicTime time) {
+    return new WeightedLoadReport(next, time.minus(next.age()), ownRunningNow, trust);
   }
 
   /** Returns this load after a response has contradicted or confirmed what was reported. */
-  ToldLoad withEvidence(boolean contradicted) {
+  WeightedLoadReport withEvidence(boolean contradicted) {
     double next =
         contradicted ? trust * CONTRADICTED_FACTOR : Math.min(1, trust * CONFIRMED_FACTOR);
-    return new ToldLoad(report, reportedAt, ownRunning, next);
+    return new WeightedLoadReport(report, reportedAt, ownRunning, next);
   }
 
   /** Returns whether the report states that a further request would start at once. */
@@ -59,12 +60,12 @@
    * @param announcedSlots the slots that the instance announced
    */
   double utilization(int own, double others, int announcedSlots, MonotonicTime time) {
-    double told =
+    double reported =
         Math.min(
             MAXIMUM_UTILIZATION,
             Math.max(0.0, report.running() + report.waiting() + own - ownRunning) / report.slots());
     double weight = weight(time);
-    double blended = weight * told + (1 - weight) * (own + others) / announcedSlots;
+    double blended = weight * reported + (1 - weight) * (own + others) / announcedSlots;
     return Math.max(blended, (double) own / Math.max(report.slots(), announcedSlots));
   }
 
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakePlacementFleet.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/FakePlacementFleet.java
@@ -247,13 +247,13 @@
   private static final class Slot {
 
     private final long orderedAt;
-    private final long toldReadyAt;
+    private final long ownerReadyAt;
     private boolean loaded;
     private long usedAt;
 
-    Slot(long orderedAt, long toldReadyAt) {
+    Slot(long orderedAt, long ownerReadyAt) {
       this.orderedAt = orderedAt;
-      this.toldReadyAt = toldReadyAt;
+      this.ownerReadyAt = ownerReadyAt;
       this.usedAt = orderedAt;
     }
   }
@@ -284,7 +284,7 @@
       Map<AdapterKey, Long> ready = new HashMap<>();
       slots.forEach(
           (adapter, slot) -> {
-            if (now >= slot.toldReadyAt) {
+            if (now >= slot.ownerReadyAt) {
               ready.put(adapter, 1L);
             }
           });
@@ -297,7 +297,7 @@
 
     private Stream<Map.Entry<AdapterKey, Slot>> evictableSlots() {
       return slots.entrySet().stream()
-          .filter(slot -> now >= slot.getValue().toldReadyAt)
+          .filter(slot -> now >= slot.getValue().ownerReadyAt)
           .filter(slot -> now - slot.getValue().usedAt > MINIMUM_IDLE)
           .filter(slot -> !inUse.contains(slot.getKey()));
     }
@@ -326,7 +326,7 @@
       }
       Slot slot = slots.computeIfAbsent(adapter, this::order);
       slot.usedAt = now;
-      long left = slot.toldReadyAt - now;
+      long left = slot.ownerReadyAt - now;
       host.answer(
           new DispatchEvent.LoadOrdered(
               name,
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/ToldLoadTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/WeightedLoadReportTests.java
@@ -11,12 +11,12 @@
 import org.parsleyhead.core.api.MonotonicTime;
 
 @DisplayName("The load that a server told")
-class ToldLoadTests {
+class WeightedLoadReportTests {
 
   private static final MonotonicTime NOW = MonotonicTime.ORIGIN.plus(Duration.ofSeconds(100));
 
-  private static ToldLoad told(int running, int waiting, int ownRunning) {
-    return ToldLoad.first(
+  private static WeightedLoadReport told(int running, int waiting, int ownRunning) {
+    return WeightedLoadReport.first(
         new ReportedLoad(running, waiting, 6, OptionalDouble.empty(), Duration.ZERO),
         ownRunning,
         NOW);
@@ -26,7 +26,7 @@
   @DisplayName(
       "counts the host's own sends and ends since, which guards against a burst by one host")
   void correctsByOwnRequests() {
-    ToldLoad load = told(6, 3, 1);
+    WeightedLoadReport load = told(6, 3, 1);
     assertEquals(1.5, load.utilization(1, 0, 6, NOW), 1e-9);
     assertEquals(2, load.utilization(4, 0, 6, NOW), 1e-9);
     assertEquals(8.0 / 6, load.utilization(0, 0, 6, NOW), 1e-9);
@@ -35,7 +35,7 @@
   @Test
   @DisplayName("counts by half after 300 ms, which guards against a load that is over")
   void ages() {
-    ToldLoad load = told(6, 6, 0);
+    WeightedLoadReport load = told(6, 6, 0);
     assertEquals(1.25, load.utilization(0, 3, 6, NOW.plus(Duration.ofMillis(300))), 1e-9);
     assertEquals(0.5, load.utilization(0, 3, 6, NOW.plus(Duration.ofSeconds(30))), 1e-9);
   }
@@ -50,7 +50,7 @@
   @Test
   @DisplayName("counts less when responses contradict it, until they confirm it again")
   void losesTrust() {
-    ToldLoad load = told(0, 30, 0);
+    WeightedLoadReport load = told(0, 30, 0);
     for (int response = 0; response < 4; response++) {
       load = load.withEvidence(true);
     }
