No formatter for each request, plainer comments

Cause: the log inputs of each send to a server that reports its load called String.format, and three comments were unclear.

Change: the inputs are concatenated; the names of the logged values say reported instead of told.

--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/ServerCondition.java
@@ -1,7 +1,6 @@
 package org.parsleyhead.core.dispatch;
 
 import java.time.Duration;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.parsleyhead.core.api.MonotonicTime;
@@ -70,7 +69,8 @@
 
   /** Returns the condition after a response has contradicted or confirmed the reported load. */
   ServerCondition withEvidence(boolean contradicted) {
-    return new ServerCondition(load.map(told -> told.withEvidence(contradicted)), pace, otherHosts);
+    return new ServerCondition(
+        load.map(report -> report.withEvidence(contradicted)), pace, otherHosts);
   }
 
   /** Returns the condition after the other hosts have reported their requests. */
@@ -81,17 +81,25 @@
   /** Returns the values that decisions depend on, for the log; empty if nothing was reported. */
   String inputs(MonotonicTime time) {
     return load.map(
-            told ->
-                String.format(
-                    Locale.ROOT,
-                    " told=%d,%d,%d told_age_ms=%d load_trust=%.2f pace=%.2f pace_trust=%.2f",
-                    told.report().running(),
-                    told.report().waiting(),
-                    told.report().slots(),
-                    time.since(told.reportedAt()).toMillis(),
-                    told.trust(),
-                    pace.at(time),
-                    pace.trust()))
+            report ->
+                " reported="
+                    + report.report().running()
+                    + ","
+                    + report.report().waiting()
+                    + ","
+                    + report.report().slots()
+                    + " report_age_ms="
+                    + time.since(report.reportedAt()).toMillis()
+                    + " report_trust="
+                    + hundredths(report.trust())
+                    + " pace="
+                    + hundredths(pace.at(time))
+                    + " pace_trust="
+                    + hundredths(pace.trust()))
         .orElse("");
   }
+
+  private static double hundredths(double value) {
+    return Math.round(value * 100) / 100.0;
+  }
 }
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/dispatch/WaitingRequests.java
@@ -28,8 +28,8 @@
   private static final int MAXIMUM_DISPATCHES = 8;
 
   /**
-   * Minimum delay that a refused caller is told: most requests take as long, and a request that
-   * leaves the line for adapter slots may still be refused its load, so that line seems short.
+   * Minimum Retry-After. Most requests take about as long, and the measured wait for adapter slots
+   * is too short, since a request that leaves that line may still be refused its load.
    */
   private static final Duration MINIMUM_CAPACITY_DELAY = Duration.ofMillis(150);
 
--- a/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/FormerInquiry.java
+++ b/parsleyhead-core/src/main/java/org/parsleyhead/core/publication/FormerInquiry.java
@@ -8,7 +8,8 @@
  * The requests of a host that started after the store was restored for what remains in force of
  * former eras on other hosts.
  *
- * <p>Immutable and thread-safe. Bounded, since in a fleet that was started as a whole nobody knows.
+ * <p>Immutable and thread-safe. Bounded, since no host has an answer if all of them started after
+ * the rollback.
  *
  * @param left how many requests may still be sent; 0 once an answer has come
  * @param lastAt when the last one was sent; empty if there was none
--- a/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/ColdFleetTests.java
+++ b/parsleyhead-core/src/test/java/org/parsleyhead/core/dispatch/ColdFleetTests.java
@@ -34,7 +34,7 @@
   private static final List<String> NAMES =
       IntStream.range(0, HOSTS).mapToObj(host -> "h" + host).toList();
 
-  /** One host, which knows one cold server and is asked for it in every step. */
+  /** A host that receives a request for its only server, a cold one, in every step. */
   private static final class Host {
 
     private final String name;
