--- a/review/harness-3/Load.java
+++ b/review/harness-3/Load.java
@@ -58,10 +58,16 @@
   /** Starts a client that sends a request of a kind at an interval. */
   Thread client(
       String host, String kind, int bodyBytes, long deadline, long interval, String model) {
-    return client(host, kind, bodyBytes, deadline, interval, model, Catalogue.KEY);
+    return client(host, kind, bodyBytes, deadline, interval, model, "a", 60);
   }
 
-  /** Starts a client that uses a key. */
+  /**
+   * Starts a client that draws an adapter for each request.
+   *
+   * @param model the model, or null
+   * @param adapterPrefix how the names of the adapters begin
+   * @param adapters the number of adapters
+   */
   Thread client(
       String host,
       String kind,
@@ -69,7 +75,8 @@
       long deadline,
       long interval,
       String model,
-      String key) {
+      String adapterPrefix,
+      int adapters) {
     return Threads.start(
         "client",
         () -> {
@@ -81,8 +88,13 @@
                 socket = Client.connect(host);
               }
               String named =
-                  model == null ? null : model + "/a" + ThreadLocalRandom.current().nextInt(60);
-              if (!request(socket, host, kind, bodyBytes, deadline, named, key)) {
+                  model == null
+                      ? null
+                      : model
+                          + "/"
+                          + adapterPrefix
+                          + ThreadLocalRandom.current().nextInt(adapters);
+              if (!request(socket, host, kind, bodyBytes, deadline, named)) {
                 socket.close();
                 socket = null;
               }
@@ -102,8 +114,7 @@
       String kind,
       int bodyBytes,
       long deadline,
-      String model,
-      String key)
+      String model)
       throws IOException, InterruptedException {
     String request = String.format("%016x", REQUESTS.incrementAndGet());
     boolean post = bodyBytes > 0;
@@ -113,7 +124,7 @@
                 "Host", Catalogue.HOST,
                 "X-Parsleyhead-Request-Id", request,
                 "X-Parsleyhead-Deadline-Ms", Long.toString(deadline),
-                "Authorization", "Bearer " + key));
+                "Authorization", "Bearer " + Catalogue.KEY));
     if (model != null) {
       headers.addAll(
           List.of("X-Parsleyhead-Model", model, "X-Parsleyhead-Token-Count", "200,40"));
--- a/review/harness-3/Server.java
+++ b/review/harness-3/Server.java
@@ -211,7 +211,16 @@
   }
 
   private synchronized int order(String body) {
-    record.line("order at " + identifier + " " + body);
+    int status = carryOut(body);
+    record.line("order at " + identifier + " " + body + " status " + status);
+    ordered(field(body, "holder"), Long.parseLong(field(body, "fence")), status);
+    return status;
+  }
+
+  /** Receives each order with the answer to it, in the order of arrival. */
+  void ordered(String holder, long fence, int status) {}
+
+  private int carryOut(String body) {
     String expected = field(body, "precondition");
     if (expected != null && Long.parseLong(expected) != orders) {
       return 409;
